--- /dev/null
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/SafetyMessage.kt
@@ -0,0 +1,76 @@
+package io.apricotslip.api.peer
+
+import io.apricotslip.api.fleet.VmList
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.ListRevision
+import io.apricotslip.api.id.ManifestRevision
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Messages of the core protocol between nodes; docs/DESIGN.md says why each is safe to lose, repeat or delay. */
+@Serializable
+public sealed class SafetyMessage {
+    /** Asks the receiver to renew the sender's membership lease. */
+    @Serializable
+    @SerialName("hb")
+    public data class Heartbeat(
+        public val sequence: Long,
+        public val listRevision: ListRevision,
+        public val manifestRevision: ManifestRevision,
+    ) : SafetyMessage()
+
+    /** Answers [Heartbeat]; sent only when the receiver's list holds the sender. Carries the receiver's revisions. */
+    @Serializable
+    @SerialName("ha")
+    public data class HeartbeatAck(
+        public val sequence: Long,
+        public val listRevision: ListRevision,
+        public val manifestRevision: ManifestRevision,
+    ) : SafetyMessage()
+
+    /** Passes on a newer list of VMs. */
+    @Serializable
+    @SerialName("lo")
+    public data class ListOffer(public val list: VmList) : SafetyMessage()
+
+    /** Passes on the text of a newer manifest. */
+    @Serializable
+    @SerialName("mo")
+    public data class ManifestOffer(public val revision: ManifestRevision, public val text: String) : SafetyMessage()
+
+    /** The sender starts nothing on [server] while [listRevision] is its tenured list: a standing consent. */
+    @Serializable
+    @SerialName("pa")
+    public data class Pass(public val server: BackendServerId, public val listRevision: ListRevision) : SafetyMessage()
+
+    /** Asks for consent to evict [adapter] from [server]. [order] grows with every evict of the sender. */
+    @Serializable
+    @SerialName("ea")
+    public data class EvictAsk(
+        public val server: BackendServerId,
+        public val adapter: AdapterVersion,
+        public val order: Long,
+        public val listRevision: ListRevision,
+    ) : SafetyMessage()
+
+    /** Answers [EvictAsk]. With [consent] the sender starts nothing on the adapter there until [EvictDone]. */
+    @Serializable
+    @SerialName("er")
+    public data class EvictAnswer(
+        public val server: BackendServerId,
+        public val adapter: AdapterVersion,
+        public val order: Long,
+        public val listRevision: ListRevision,
+        public val consent: Boolean,
+    ) : SafetyMessage()
+
+    /** The evict numbered [order] was acknowledged by the engine or given up before it was sent. */
+    @Serializable
+    @SerialName("ed")
+    public data class EvictDone(
+        public val server: BackendServerId,
+        public val adapter: AdapterVersion,
+        public val order: Long,
+    ) : SafetyMessage()
+}
--- /dev/null
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.bench
+
+internal const val MODULE = "apricotslip-bench"
--- /dev/null
+++ b/apricotslip-cli/src/main/kotlin/io/apricotslip/cli/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.cli
+
+internal const val MODULE = "apricotslip-cli"
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.core
+
+internal const val MODULE = "apricotslip-core"
--- /dev/null
+++ b/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.e2e
+
+internal const val MODULE = "apricotslip-e2e"
--- /dev/null
+++ b/apricotslip-node/src/main/kotlin/io/apricotslip/node/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.node
+
+internal const val MODULE = "apricotslip-node"
--- /dev/null
+++ b/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.safety
+
+internal const val MODULE = "apricotslip-safety"
--- /dev/null
+++ b/apricotslip-spec/src/main/kotlin/io/apricotslip/spec/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.spec
+
+internal const val MODULE = "apricotslip-spec"
--- /dev/null
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.standins
+
+internal const val MODULE = "apricotslip-standins"
--- /dev/null
+++ b/apricotslip-test-utils/src/main/kotlin/io/apricotslip/testutils/Module.kt
@@ -0,0 +1,3 @@
+package io.apricotslip.testutils
+
+internal const val MODULE = "apricotslip-test-utils"
