--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/Message.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/Message.kt
@@ -19,12 +19,12 @@
     /** A message of the core protocol. */
     @Serializable
     @SerialName("s")
-    public data class Safety(public val body: SafetyMessage) : Message()
+    public data class Safety(@SerialName("b") public val body: SafetyMessage) : Message()
 
     /** Statuses of the engines that the sender owns. */
     @Serializable
     @SerialName("es")
-    public data class Engines(public val engines: List<EngineStatus>) : Message()
+    public data class Engines(@SerialName("e") public val engines: List<EngineStatus>) : Message()
 
     /**
      * Asks the owner of [server] to run a request.
@@ -35,78 +35,84 @@
     @Serializable
     @SerialName("gs")
     public data class GenerateStart(
-        public val request: RequestId,
-        public val server: BackendServerId,
-        public val adapter: AdapterVersion,
-        public val revision: ManifestRevision,
-        public val workClass: WorkClass,
-        public val customer: CustomerId,
-        public val prompt: String,
-        public val maxTokens: Int,
-        public val budgetMillis: Long,
-        public val traceparent: String? = null,
+        @SerialName("r") public val request: RequestId,
+        @SerialName("s") public val server: BackendServerId,
+        @SerialName("a") public val adapter: AdapterVersion,
+        @SerialName("v") public val revision: ManifestRevision,
+        @SerialName("wc") public val workClass: WorkClass,
+        @SerialName("c") public val customer: CustomerId,
+        @SerialName("p") public val prompt: String,
+        @SerialName("x") public val maxTokens: Int,
+        @SerialName("u") public val budgetMillis: Long,
+        @SerialName("tp") public val traceparent: String? = null,
     ) : Message()
 
     /** Text of an answer; [offset] counts the tokens before it. */
     @Serializable
     @SerialName("gc")
     public data class GenerateChunk(
-        public val request: RequestId,
-        public val offset: Int,
-        public val tokens: List<String>,
+        @SerialName("r") public val request: RequestId,
+        @SerialName("o") public val offset: Int,
+        @SerialName("t") public val tokens: List<String>,
     ) : Message()
 
     /** End of a whole answer of [total] tokens, made by [adapter]. */
     @Serializable
     @SerialName("ge")
     public data class GenerateEnd(
-        public val request: RequestId,
-        public val total: Int,
-        public val adapter: AdapterVersion,
-        public val server: BackendServerId,
-        public val finish: String,
-        public val stallMillis: Long,
+        @SerialName("r") public val request: RequestId,
+        @SerialName("n") public val total: Int,
+        @SerialName("a") public val adapter: AdapterVersion,
+        @SerialName("s") public val server: BackendServerId,
+        @SerialName("f") public val finish: String,
+        @SerialName("st") public val stallMillis: Long,
     ) : Message()
 
     /** The request ended without a whole answer. */
     @Serializable
     @SerialName("gr")
-    public data class GenerateRefused(public val request: RequestId, public val refusal: Refusal) : Message()
+    public data class GenerateRefused(
+        @SerialName("r") public val request: RequestId,
+        @SerialName("rf") public val refusal: Refusal,
+    ) : Message()
 
     /** Asks for the answer again from token [from], after a lost link or at another VM. */
     @Serializable
     @SerialName("gm")
     public data class GenerateResume(
-        public val request: RequestId,
-        public val server: BackendServerId,
-        public val adapter: AdapterVersion,
-        public val from: Int,
-        public val budgetMillis: Long,
+        @SerialName("r") public val request: RequestId,
+        @SerialName("s") public val server: BackendServerId,
+        @SerialName("a") public val adapter: AdapterVersion,
+        @SerialName("fr") public val from: Int,
+        @SerialName("u") public val budgetMillis: Long,
     ) : Message()
 
     /** The caller went away; frees the slot on the engine. */
     @Serializable
     @SerialName("gx")
-    public data class GenerateCancel(public val request: RequestId) : Message()
+    public data class GenerateCancel(@SerialName("r") public val request: RequestId) : Message()
 
     /** The receiver of chunks has passed on all tokens before [upTo]; the sender may run ahead by its window. */
     @Serializable
     @SerialName("gw")
-    public data class GenerateCredit(public val request: RequestId, public val upTo: Int) : Message()
+    public data class GenerateCredit(
+        @SerialName("r") public val request: RequestId,
+        @SerialName("to") public val upTo: Int,
+    ) : Message()
 
     /** Asks the home VM of an idempotency key to run a call of a plain service. */
     @Serializable
     @SerialName("rs")
     public data class ReserveStart(
-        public val request: RequestId,
-        public val service: ServiceId,
-        public val key: String,
-        public val method: String,
-        public val path: String,
-        public val contentType: String?,
-        public val body: ByteArray,
-        public val budgetMillis: Long,
-        public val traceparent: String? = null,
+        @SerialName("r") public val request: RequestId,
+        @SerialName("sv") public val service: ServiceId,
+        @SerialName("k") public val key: String,
+        @SerialName("me") public val method: String,
+        @SerialName("pa") public val path: String,
+        @SerialName("ct") public val contentType: String?,
+        @SerialName("b") public val body: ByteArray,
+        @SerialName("u") public val budgetMillis: Long,
+        @SerialName("tp") public val traceparent: String? = null,
     ) : Message() {
         override fun equals(other: Any?): Boolean = other is ReserveStart && other.request == request
 
@@ -117,11 +123,11 @@
     @Serializable
     @SerialName("re")
     public data class ReserveEnd(
-        public val request: RequestId,
-        public val status: Int,
-        public val contentType: String?,
-        public val body: ByteArray,
-        public val server: BackendServerId,
+        @SerialName("r") public val request: RequestId,
+        @SerialName("ss") public val status: Int,
+        @SerialName("ct") public val contentType: String?,
+        @SerialName("b") public val body: ByteArray,
+        @SerialName("s") public val server: BackendServerId,
     ) : Message() {
         override fun equals(other: Any?): Boolean = other is ReserveEnd && other.request == request
 
@@ -131,17 +137,20 @@
     /** The call ended without an answer of the service. */
     @Serializable
     @SerialName("rr")
-    public data class ReserveRefused(public val request: RequestId, public val refusal: Refusal) : Message()
+    public data class ReserveRefused(
+        @SerialName("r") public val request: RequestId,
+        @SerialName("rf") public val refusal: Refusal,
+    ) : Message()
 
     /** Lends [tokens] loads of the weight store; the sender has subtracted them already. */
     @Serializable
     @SerialName("tl")
-    public data class TokenLoan(public val tokens: Double) : Message()
+    public data class TokenLoan(@SerialName("t") public val tokens: Double) : Message()
 
     /** The sender needs [wanted] loads of the weight store. */
     @Serializable
     @SerialName("ta")
-    public data class TokenAsk(public val wanted: Double) : Message()
+    public data class TokenAsk(@SerialName("w") public val wanted: Double) : Message()
 
     /** The sender is stopping and takes no new work. */
     @Serializable
