--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/KtorPeerNetwork.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/KtorPeerNetwork.kt
@@ -7,15 +7,16 @@
 import io.apricotslip.api.time.Ticker
 import io.apricotslip.wire.frame.Frame
 import io.apricotslip.wire.frame.FrameCodec
-import io.apricotslip.wire.link.Connection
+import io.apricotslip.wire.link.Acceptor
+import io.apricotslip.wire.link.Backoff
 import io.apricotslip.wire.link.Dialer
 import io.apricotslip.wire.link.Greeter
 import io.apricotslip.wire.link.Inbox
 import io.apricotslip.wire.link.LinkTable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -24,9 +25,9 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.reactor.asFlux
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.sync.Semaphore
 import org.tinylog.kotlin.Logger
 import reactor.core.publisher.Flux
+import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
 
 /**
@@ -51,23 +52,23 @@
 ) : PeerNetwork {
     private class Followed(val vm: Vm, val job: Job)
 
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default + CoroutineExceptionHandler(::report))
     private val selector = SelectorManager(Dispatchers.IO)
     private val inbox = Inbox(options.maxBufferedEvents)
-    private val table = LinkTable(self, options, inbox)
+    private val table = LinkTable(self, options.maxUnlistedLinks, inbox)
     private val greeter = Greeter(self, incarnation, build, options, ticker, table)
     private val followed = HashMap<VmId, Followed>()
-    private val handshakes = Semaphore(options.maxHandshakes)
 
     override fun start(): Int {
         val server = runBlocking { aSocket(selector).tcp().bind(address, port) { reuseAddress = true } }
-        scope.launch { accept(server) }
+        val acceptor = Acceptor(server, scope, greeter, options.maxHandshakes)
+        scope.launch { acceptor.run() }
         return (server.localAddress as InetSocketAddress).port
     }
 
     @Synchronized
     override fun follow(list: VmList) {
-        table.follow(list)
+        table.list(list.vms.map { it.id }.toSet())
         val wanted = list.vms.filter { it.id > self }.associateBy { it.id }
         followed.values.filter { !it.reaches(wanted[it.vm.id]) }.forEach(::unfollow)
         wanted.values.filter { it.id !in followed }.forEach(::dial)
@@ -96,22 +97,19 @@
     private fun Followed.reaches(other: Vm?) = other != null && other.address == vm.address && other.port == vm.port
 
     private fun unfollow(entry: Followed) {
+        table.close(entry.vm.id, "address changed")
         entry.job.cancel()
         followed.remove(entry.vm.id)
     }
 
     private fun dial(vm: Vm) {
-        val dialer = Dialer(vm, selector, options, random, greeter)
+        val backoff =
+            Backoff(options.reconnectMillis, options.maxReconnectMillis, options.reconnectJitter, random)
+        val dialer = Dialer(vm, selector, options.connectMillis, backoff, greeter)
         followed[vm.id] = Followed(vm, scope.launch { dialer.run() })
     }
 
-    private suspend fun accept(server: ServerSocket) {
-        server.use {
-            while (true) {
-                handshakes.acquire()
-                val connection = Connection(server.accept())
-                scope.launch { greeter.serve(connection, onGreeted = handshakes::release) }
-            }
-        }
+    private fun report(context: CoroutineContext, cause: Throwable) {
+        Logger.error(cause) { "event=link_task_failed step=link peer=$self context=\"$context\"" }
     }
 }
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Connection.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Connection.kt
@@ -11,7 +11,6 @@
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeInt
-import java.io.IOException
 
 /** An open socket to a node that may not have said hello yet. */
 internal class Connection(private val socket: Socket) {
@@ -33,11 +32,13 @@
         return hello
     }
 
+    /**
+     * Closes the socket, also while a write waits for a peer that does not read: after [Socket.close] alone that write
+     * would keep the socket open. The order counts, since the socket is let go by the end of its jobs.
+     */
     fun close() {
-        val cause = IOException("link closed")
-        input.cancel(cause)
-        output.cancel(cause)
         socket.close()
+        socket.socketContext.cancel()
     }
 
     private fun check(hello: Hello) {
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Greeter.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Greeter.kt
@@ -6,10 +6,8 @@
 import io.apricotslip.wire.LinkOptions
 import io.apricotslip.wire.frame.FrameException
 import io.apricotslip.wire.frame.Hello
-import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
-import org.tinylog.kotlin.Logger
 import java.util.concurrent.atomic.AtomicLong
 
 /** Exchanges hellos on new connections and hands the links to [table]. */
@@ -23,26 +21,25 @@
 ) {
     private val links = AtomicLong()
 
-    /** Exchanges hellos on [connection] and serves the link; logs why when the hello is not acceptable. */
-    suspend fun serve(connection: Connection, expected: VmId? = null, onGreeted: () -> Unit = {}) {
+    /**
+     * Exchanges hellos on [connection] and serves the link until it ends. Throws when the hello is not acceptable, or
+     * not that of [expected]; calls [onGreeted] when it is.
+     */
+    suspend fun serve(connection: Connection, expected: VmId?, onGreeted: () -> Unit) {
         try {
-            val hello = greet(connection, expected)
+            val hello = greet(connection)
+            if (expected != null && hello.vm != expected) throw FrameException("peer calls itself ${hello.vm}")
             onGreeted()
-            if (hello != null) table.serve(Link(hello, connection, options, ticker))
+            table.serve(Link(hello, connection, options, ticker))
         } finally {
             connection.close()
         }
     }
 
-    private suspend fun greet(connection: Connection, expected: VmId?): Hello? = try {
-        val hello = withTimeout(options.connectMillis) { connection.greet(ownHello()) }
-        if (expected != null && hello.vm != expected) throw FrameException("peer calls itself ${hello.vm}")
-        hello
-    } catch (e: Exception) {
-        currentCoroutineContext().ensureActive()
-        val peer = expected?.value ?: connection.remote
-        Logger.warn { "event=hello_failed step=hello peer=$peer reason=\"${e.message}\"" }
-        null
+    private suspend fun greet(connection: Connection): Hello = try {
+        withTimeout(options.connectMillis) { connection.greet(ownHello()) }
+    } catch (e: TimeoutCancellationException) {
+        throw FrameException("no hello within ${options.connectMillis} ms", e)
     }
 
     private fun ownHello() = Hello(
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Link.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Link.kt
@@ -11,12 +11,13 @@
 import io.apricotslip.wire.frame.Hello
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeInt
-import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import java.util.concurrent.atomic.AtomicReference
 
 /** A link whose hellos were exchanged; [hello] is the peer's. */
 internal class Link(
@@ -29,20 +30,26 @@
     private val queue = OutboundQueue(options.maxQueuedBytes)
     private val budget = InboundBudget(options.maxInboundBytes)
     private val silence = Silence(ticker, options.silentMillis)
-    private val ended = CompletableDeferred<String>()
+    private val ended = AtomicReference<String>()
+    private val closed = Job()
 
     /** Queues the content of a frame. */
     fun offer(content: ByteArray): SendResult = queue.offer(content)
 
-    /** Closes the link; the first [reason] counts. */
-    fun close(reason: String) {
-        ended.complete(reason)
+    /** Whether the link was closed. */
+    fun isClosed(): Boolean = ended.get() != null
+
+    /** Closes the link; the first [reason] counts and is returned. */
+    fun close(reason: String): String {
+        ended.compareAndSet(null, reason)
+        closed.complete()
         queue.close()
         connection.close()
+        return ended.get()
     }
 
-    /** Serves the link until it is closed; returns the reason. */
-    suspend fun serve(inbox: Inbox): String {
+    /** Serves the link until it is closed. */
+    suspend fun serve(inbox: Inbox) {
         coroutineScope {
             val loops = listOf(
                 launch { closeAfter { receive(inbox) } },
@@ -50,13 +57,12 @@
                 launch { closeAfter { watch() } },
             )
             try {
-                ended.join()
+                closed.join()
             } finally {
                 close("stopped")
                 loops.forEach { it.cancel() }
             }
         }
-        return ended.await()
     }
 
     private suspend fun closeAfter(loop: suspend () -> Unit) {
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/LinkTable.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/LinkTable.kt
@@ -1,8 +1,6 @@
 package io.apricotslip.wire.link
 
-import io.apricotslip.api.fleet.VmList
 import io.apricotslip.api.id.VmId
-import io.apricotslip.wire.LinkOptions
 import io.apricotslip.wire.PeerEvent
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.sync.Mutex
@@ -11,8 +9,9 @@
 import org.tinylog.kotlin.Logger
 import java.util.concurrent.ConcurrentHashMap
 
-/** The links of a node, at most one per peer. */
-internal class LinkTable(private val self: VmId, private val options: LinkOptions, private val inbox: Inbox) {
+/** The links of a node, at most one per peer; the newest hello of a peer wins. */
+internal class LinkTable(private val self: VmId, private val maxUnlisted: Int, private val inbox: Inbox) {
+    /** Links of one peer take turns, so that an old one is told as down before the new one is told as up. */
     private class Slot {
         val turn = Mutex()
         var newest: Link? = null
@@ -20,9 +19,7 @@
 
     private val slots = HashMap<VmId, Slot>()
     private val up = ConcurrentHashMap<VmId, Link>()
-
-    @Volatile
-    private var list = VmList.Empty
+    private var listed = emptySet<VmId>()
 
     /** The link to [peer] that is up, or null. */
     operator fun get(peer: VmId): Link? = up[peer]
@@ -30,32 +27,40 @@
     /** Peers with a link that is up. */
     fun connected(): Set<VmId> = up.keys.toSet()
 
-    /** Takes [list] as the one that says which peers are known; closes the links to those it drops. */
-    fun follow(list: VmList) {
-        val dropped = this.list.vms.map { it.id } - list.vms.map { it.id }.toSet()
-        this.list = list
-        dropped.forEach { up[it]?.close("no longer listed") }
+    /** Takes [peers] as those that are listed; closes the links to those that were listed before and are no more. */
+    @Synchronized
+    fun list(peers: Set<VmId>) {
+        val dropped = listed - peers
+        listed = peers
+        dropped.forEach { close(it, "no longer listed") }
+    }
+
+    /** Closes the link to [peer], if there is one. */
+    @Synchronized
+    fun close(peer: VmId, reason: String) {
+        slots[peer]?.newest?.close(reason)
     }
 
     /** Serves [link] until it closes, after the older link of the same peer has ended. */
     suspend fun serve(link: Link) {
         val slot = admit(link) ?: return
-        slot.turn.withLock {
-            if (slot.newest === link) serveAlone(link)
+        try {
+            slot.turn.withLock { serveAlone(link) }
+        } finally {
+            retire(slot, link)
         }
-        retire(link.peer, slot, link)
     }
 
     private suspend fun serveAlone(link: Link) {
+        if (link.isClosed()) return
         up[link.peer] = link
-        var reason = "stopped"
         try {
             inbox.deliver(PeerEvent.Up(link.peer, link.hello.incarnation))
             Logger.info { "event=link_up step=link peer=${link.peer} build=${link.hello.build}" }
-            reason = link.serve(inbox)
+            link.serve(inbox)
         } finally {
             up.remove(link.peer, link)
-            link.close(reason)
+            val reason = link.close("stopped")
             Logger.info { "event=link_down step=link peer=${link.peer} reason=\"$reason\"" }
             withContext(NonCancellable) { inbox.deliver(PeerEvent.Down(link.peer, reason)) }
         }
@@ -79,13 +84,13 @@
         if (link.peer == self) return "own name"
         val newest = slots[link.peer]?.newest
         if (newest != null) return "older link".takeIf { link.hello.isOlderThan(newest.hello) }
-        if (list[link.peer] != null) return null
-        val unlisted = slots.keys.count { list[it] == null }
-        return "too many unlisted peers".takeIf { unlisted >= options.maxUnlistedLinks }
+        if (link.peer in listed) return null
+        val unlisted = slots.keys.count { it !in listed }
+        return "too many unlisted peers".takeIf { unlisted >= maxUnlisted }
     }
 
     @Synchronized
-    private fun retire(peer: VmId, slot: Slot, link: Link) {
-        if (slot.newest === link) slots.remove(peer)
+    private fun retire(slot: Slot, link: Link) {
+        if (slot.newest === link) slots.remove(link.peer)
     }
 }
