Add the schedulers, placement, store share and limits, thin

Shown by: tables of cases in virtual time in apricotslip-rules (mvn -pl apricotslip-rules -am verify).

--- /dev/null
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
@@ -0,0 +1,238 @@
+package io.apricotslip.rules.engine
+
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.RequestId
+import io.apricotslip.api.manifest.WhenFull
+import io.apricotslip.api.outcome.RefusalCode
+import io.apricotslip.api.peer.AdapterUse
+import io.apricotslip.api.peer.EngineStatus
+import io.apricotslip.api.work.WorkClass
+import io.apricotslip.rules.store.LoadUrgency
+import io.apricotslip.rules.store.StoreBudget
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.random.Random
+
+/**
+ * Starts work in order of urgency and age, groups deferrable work by adapter, loads the most urgent waiting adapter
+ * first and evicts the least popular idle one.
+ *
+ * @param slots adapter slots of the engine.
+ * @param batch requests that the engine decodes at once.
+ * @param whenFull what the engine does with a load beyond its slots; loads are proposed only into free ones.
+ * @param random source of the jitter of backoffs.
+ */
+public class AdapterScheduler(
+    private val server: BackendServerId,
+    private val slots: Int,
+    private val batch: Int,
+    @Suppress("UnusedPrivateProperty") private val whenFull: WhenFull,
+    private val options: SchedulerOptions = SchedulerOptions(),
+    random: Random = Random(0),
+) : EngineScheduler {
+    private val waiting = WaitingWork()
+    private val use = Slots(slots)
+    private val popularity = Popularity(options.popularityHalfLifeMillis * NANOS_PER_MILLI.toDouble())
+    private val backoff = LoadBackoff(options, random)
+    private val urgency = WorkUrgency(options)
+    private val loadQueue = LoadQueue(options, urgency)
+    private val speed = SpeedMeter(batch)
+    private val drain = Drain()
+    private val startQueue = StartQueue(batch, options, urgency, drain)
+    private val overflow = ArrayList<Work>()
+    private var ordersAllowed = true
+    private var startsHeldUntil = Long.MIN_VALUE
+    private var storeNextAt = Long.MAX_VALUE
+
+    override fun enqueue(work: Work, now: Long) {
+        popularity.add(work.adapter, weight(work), now)
+        waiting.add(work)
+        if (waiting.size > options.queueLimit) {
+            val shed = waiting.leastUrgent() ?: return
+            waiting.remove(shed.id)
+            overflow += shed
+        }
+    }
+
+    override fun cancel(id: RequestId, now: Long): Boolean = waiting.remove(id) != null
+
+    override fun finished(id: RequestId, tokens: Int, now: Long) {
+        val running = use.running + use.foreign
+        val ended = use.end(id, now) ?: return
+        speed.finished(tokens, now - ended.at, running)
+    }
+
+    override fun startRefused(id: RequestId, adapterMissing: Boolean, now: Long) {
+        val refused = use.end(id, now) ?: return
+        waiting.add(refused.work)
+        if (adapterMissing) {
+            use.evicted(refused.work.adapter)
+        } else {
+            startsHeldUntil =
+                now + nanos(options.startPauseMillis)
+        }
+    }
+
+    override fun loaded(adapter: AdapterVersion, now: Long) {
+        backoff.succeeded(adapter)
+        use.loaded(adapter, now)
+    }
+
+    override fun loadFailed(adapter: AdapterVersion, now: Long) {
+        use.loadFailed(adapter)
+        backoff.failed(adapter, now)
+    }
+
+    override fun evicted(adapter: AdapterVersion, now: Long) {
+        use.evicted(adapter)
+        if (adapter == drain.adapter) drain.end()
+    }
+
+    override fun evictRefused(adapter: AdapterVersion, now: Long) {
+        use.keep(adapter, now + nanos(options.evictRefusedPauseMillis))
+        if (adapter == drain.adapter) drain.end()
+    }
+
+    override fun reset(resident: List<AdapterVersion>, now: Long) {
+        use.reset(resident, now)
+        drain.end()
+    }
+
+    override fun foreignUse(running: Map<AdapterVersion, Int>, now: Long): Unit = use.foreign(running)
+
+    override fun orders(allowed: Boolean) {
+        ordersAllowed = allowed
+    }
+
+    override fun decide(now: Long, budget: StoreBudget): List<EngineAction> {
+        val actions = ArrayList<EngineAction>()
+        refuseOverflow(actions)
+        refuseExpired(now, actions)
+        startWork(now, actions)
+        if (ordersAllowed) orderLoads(now, budget, actions)
+        storeNextAt = budget.nextAt(now)
+        return actions
+    }
+
+    override fun wakeAt(now: Long): Long {
+        val deadline = waiting.all().minOfOrNull { it.deadlineAt - shortestWait(it) } ?: Long.MAX_VALUE
+        val retry = waiting.adapters.map { backoff.until(it) }.filter { it > now }.minOrNull() ?: Long.MAX_VALUE
+        val held = if (startsHeldUntil > now) startsHeldUntil else Long.MAX_VALUE
+        val load = if (hasLoadDemand(now)) storeNextAt else Long.MAX_VALUE
+        return max(now, min(min(deadline, retry), min(held, load)))
+    }
+
+    override fun status(now: Long): EngineStatus {
+        val coming = waiting.adapters.filter { !use.isResident(it) && !use.isLoading(it) }
+        val told = use.adapters + use.loads + coming.take(COMING_TOLD)
+        return EngineStatus(
+            server = server,
+            slots = slots,
+            batch = batch,
+            running = use.running + use.foreign,
+            waiting = waiting.size,
+            waitingLoads = coming.size + use.loads.size,
+            freeSlots = max(0, use.free),
+            evictable = ordersAllowed && (use.free > 0 || victim(now) != null),
+            tokensPerSecond = speed.fullBatch(),
+            adapters = told.map { AdapterUse(it, use.running(it), waiting.count(it)) },
+        )
+    }
+
+    private fun refuseOverflow(actions: MutableList<EngineAction>) {
+        overflow.forEach { actions += EngineAction.Refuse(it, RefusalCode.OVERLOADED) }
+        overflow.clear()
+    }
+
+    private fun refuseExpired(now: Long, actions: MutableList<EngineAction>) {
+        val late = waiting.all().filter { now + shortestWait(it) >= it.deadlineAt }
+        for (work in late) {
+            waiting.remove(work.id)
+            actions += EngineAction.Refuse(work, RefusalCode.DEADLINE)
+        }
+    }
+
+    private fun shortestWait(work: Work): Long =
+        if (use.isResident(work.adapter) || use.isLoading(work.adapter)) 0 else nanos(options.loadMillis)
+
+    private fun startWork(now: Long, actions: MutableList<EngineAction>) {
+        if (now < startsHeldUntil) return
+        while (true) {
+            val work = startQueue.next(waiting, use, now) ?: return
+            waiting.remove(work.id)
+            use.start(work, now)
+            actions += EngineAction.Start(work, work.workClass.ordinal)
+        }
+    }
+
+    private fun orderLoads(now: Long, budget: StoreBudget, actions: MutableList<EngineAction>) {
+        while (true) {
+            val demand = nextLoad(now) ?: return preload(now, budget, actions)
+            if (use.free <= 0) return makeRoom(demand, now, budget, actions)
+            if (!budget.tryTake(now, demand.urgency)) return
+            use.load(demand.adapter)
+            actions += EngineAction.Load(demand.adapter)
+        }
+    }
+
+    private fun nextLoad(now: Long): LoadDemand? {
+        val demand = loadQueue.first(waiting, now) { isLoadable(it, now) } ?: return null
+        return demand.takeIf { it.urgency != LoadUrgency.DEFERRABLE || hasSlack() }
+    }
+
+    private fun hasSlack(): Boolean {
+        val startable = use.adapters.sumOf { waiting.count(it) } + use.loads.sumOf { waiting.count(it) }
+        return use.running + use.foreign + startable < batch
+    }
+
+    private fun isLoadable(adapter: AdapterVersion, now: Long): Boolean =
+        !use.isResident(adapter) && !use.isLoading(adapter) && !backoff.blocks(adapter, now)
+
+    private fun hasLoadDemand(now: Long): Boolean = waiting.adapters.any { isLoadable(it, now) }
+
+    private fun makeRoom(demand: LoadDemand, now: Long, budget: StoreBudget, actions: MutableList<EngineAction>) {
+        if (use.evicting > 0) return
+        val next = budget.nextAt(now)
+        if (next == Long.MAX_VALUE || next - now > nanos(options.evictLeadMillis)) {
+            budget.tryTake(now, demand.urgency)
+            return
+        }
+        val victim = victim(now) ?: return beginDrain(demand, now)
+        use.evict(victim)
+        actions += EngineAction.Evict(victim)
+    }
+
+    private fun beginDrain(demand: LoadDemand, now: Long) {
+        if (drain.adapter != null || demand.urgency == LoadUrgency.DEFERRABLE) return
+        if (now - demand.oldestAt < nanos(options.drainAfterMillis)) return
+        drain.begin(use.adapters.minByOrNull { popularity.of(it, now) }, demand.oldestAt)
+    }
+
+    private fun victim(now: Long): AdapterVersion? {
+        val idle = use.idle(now).filter { waiting.count(it) == 0 || it == drain.adapter }
+        return when (options.victimOrder) {
+            VictimOrder.POPULARITY -> idle.minByOrNull { popularity.of(it, now) }
+            VictimOrder.LEAST_RECENT -> idle.minByOrNull { use.usedAt(it) }
+        }
+    }
+
+    private fun preload(now: Long, budget: StoreBudget, actions: MutableList<EngineAction>) {
+        if (!options.preload || use.loads.isNotEmpty() || use.free <= 0) return
+        val adapter = popularity.best(now) { isLoadable(it, now) } ?: return
+        if (popularity.of(adapter, now) < options.preloadMinPopularity) return
+        if (!budget.tryTake(now, LoadUrgency.PRELOAD)) return
+        use.load(adapter)
+        actions += EngineAction.Load(adapter)
+    }
+
+    private fun weight(work: Work): Double =
+        if (work.workClass == WorkClass.DEFERRABLE) options.deferrablePopularity else 1.0
+
+    private fun nanos(millis: Long): Long = millis * NANOS_PER_MILLI
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val COMING_TOLD = 32
+    }
+}
--- /dev/null
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/SchedulerOptions.kt
@@ -0,0 +1,46 @@
+package io.apricotslip.rules.engine
+
+/**
+ * Settings of an [AdapterScheduler].
+ *
+ * @property queueLimit requests that wait at one engine; beyond it the least urgent is refused.
+ * @property popularityHalfLifeMillis after this time a past request counts half in the choice of victims.
+ * @property loadBackoffMillis wait after the first failed load of an adapter; doubles with each further failure.
+ * @property maxLoadBackoffMillis longest wait after a failed load.
+ * @property planPromoteMillis a plan that waited this long is treated as interactive work.
+ * @property deferrableMaxWaitMillis deferrable work that waited this long is treated as a plan.
+ * @property drainAfterMillis when work waited this long for a slot and every resident adapter is in use, nothing more
+ *   is started on the least popular one.
+ * @property evictRefusedPauseMillis an adapter whose evict was refused is no victim for this time.
+ * @property evictLeadMillis a victim is evicted this long before the store allows the next load.
+ * @property loadMillis time that a load takes at full speed.
+ * @property preloadMinPopularity decayed count of requests below which an adapter is not loaded ahead.
+ * @property preloadGain how many times as popular as the victim an adapter must be to replace it ahead of need.
+ * @property interactiveReserve part of the batch that deferrable work leaves free.
+ * @property startPauseMillis wait after the engine refused to start a request.
+ * @property deferrablePopularity what a deferrable request counts in popularity; another counts 1.
+ * @property loadOrder which waiting adapter is loaded next.
+ * @property victimOrder which idle adapter is evicted first.
+ * @property preload whether adapters are loaded ahead of need when the store is idle.
+ */
+public data class SchedulerOptions(
+    public val goal: SchedulerGoal = SchedulerGoal.LOAD_STALLS,
+    public val queueLimit: Int = 1_024,
+    public val popularityHalfLifeMillis: Long = 60_000,
+    public val loadBackoffMillis: Long = 500,
+    public val maxLoadBackoffMillis: Long = 15_000,
+    public val planPromoteMillis: Long = 5_000,
+    public val deferrableMaxWaitMillis: Long = 600_000,
+    public val drainAfterMillis: Long = 1_000,
+    public val evictRefusedPauseMillis: Long = 2_000,
+    public val evictLeadMillis: Long = 20,
+    public val loadMillis: Long = 250,
+    public val preloadMinPopularity: Double = 0.5,
+    public val preloadGain: Double = 2.0,
+    public val interactiveReserve: Double = 0.125,
+    public val startPauseMillis: Long = 50,
+    public val deferrablePopularity: Double = 0.1,
+    public val loadOrder: LoadOrder = LoadOrder.WEIGHTED,
+    public val victimOrder: VictimOrder = VictimOrder.POPULARITY,
+    public val preload: Boolean = true,
+)
--- /dev/null
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/WaitingWork.kt
@@ -0,0 +1,61 @@
+package io.apricotslip.rules.engine
+
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.RequestId
+import io.apricotslip.api.work.WorkClass
+
+/** Work that waits for one adapter, by class and in order of arrival. */
+internal class AdapterQueue {
+    private val classes = List(WorkClass.entries.size) { ArrayDeque<Work>() }
+
+    val size: Int get() = classes.sumOf { it.size }
+
+    fun add(work: Work) {
+        val queue = classes[work.workClass.ordinal]
+        val at = queue.indexOfLast { it.arrivedAt <= work.arrivedAt } + 1
+        queue.add(at, work)
+    }
+
+    fun remove(work: Work): Boolean = classes[work.workClass.ordinal].remove(work)
+
+    fun head(workClass: WorkClass): Work? = classes[workClass.ordinal].firstOrNull()
+
+    fun last(workClass: WorkClass): Work? = classes[workClass.ordinal].lastOrNull()
+
+    fun count(workClass: WorkClass): Int = classes[workClass.ordinal].size
+
+    fun forEach(action: (Work) -> Unit) = classes.forEach { it.forEach(action) }
+}
+
+/** All work that waits at one engine. */
+internal class WaitingWork {
+    private val byId = LinkedHashMap<RequestId, Work>()
+    private val queues = LinkedHashMap<AdapterVersion, AdapterQueue>()
+
+    val size: Int get() = byId.size
+    val adapters: Set<AdapterVersion> get() = queues.keys
+
+    fun add(work: Work) {
+        byId[work.id] = work
+        queues.getOrPut(work.adapter) { AdapterQueue() }.add(work)
+    }
+
+    fun remove(id: RequestId): Work? {
+        val work = byId.remove(id) ?: return null
+        val queue = queues.getValue(work.adapter)
+        queue.remove(work)
+        if (queue.size == 0) queues.remove(work.adapter)
+        return work
+    }
+
+    fun queue(adapter: AdapterVersion): AdapterQueue? = queues[adapter]
+
+    fun count(adapter: AdapterVersion): Int = queues[adapter]?.size ?: 0
+
+    fun all(): Collection<Work> = byId.values
+
+    fun leastUrgent(): Work? {
+        val workClass = WorkClass.entries.lastOrNull { c -> queues.values.any { it.count(c) > 0 } } ?: return null
+        return queues.values.mapNotNull { it.last(workClass) }.maxByOrNull { it.arrivedAt }
+    }
+}
--- /dev/null
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/placement/Rendezvous.kt
@@ -0,0 +1,35 @@
+package io.apricotslip.rules.placement
+
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.manifest.EngineEntry
+import kotlin.math.ln
+
+/** Weighted rendezvous hashing of adapters over engines; an engine's part grows with its weight. */
+internal object Rendezvous {
+    fun rank(adapter: AdapterVersion, engines: List<EngineEntry>, weight: (EngineEntry) -> Double): List<EngineEntry> {
+        val scores = engines.associateWith { score(adapter, it, weight(it)) }
+        return engines.sortedWith(compareBy<EngineEntry> { scores.getValue(it) }.thenBy { it.id })
+    }
+
+    private fun score(adapter: AdapterVersion, engine: EngineEntry, weight: Double): Double {
+        val hash = mix(hash("$adapter") xor mix(hash(engine.id.value)))
+        val unit = ((hash ushr SHIFT) + 1) / UNITS
+        return -ln(unit) / weight
+    }
+
+    private fun hash(text: String): Long = text.fold(FNV_OFFSET) { h, c -> (h xor c.code.toLong()) * FNV_PRIME }
+
+    private fun mix(value: Long): Long {
+        val a = (value xor (value ushr MIX_SHIFT)) * MIX_FIRST
+        val b = (a xor (a ushr MIX_SHIFT)) * MIX_SECOND
+        return b xor (b ushr MIX_SHIFT)
+    }
+
+    private const val SHIFT = 11
+    private const val MIX_SHIFT = 33
+    private const val MIX_FIRST = -0xae502812aa7333L
+    private const val MIX_SECOND = -0x3b314601e57a13adL
+    private const val UNITS = 9007199254740993.0
+    private const val FNV_OFFSET = -0x340d631b7bdddcdbL
+    private const val FNV_PRIME = 0x100000001b3L
+}
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreBudget.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreBudget.kt
@@ -5,6 +5,9 @@
     /** Takes one load if there is one; a taken load is never given back. */
     public fun tryTake(now: Long): Boolean
 
+    /** Like [tryTake], and leaves the load to a more urgent one that was refused shortly before. */
+    public fun tryTake(now: Long, urgency: LoadUrgency): Boolean = tryTake(now)
+
     /** A load that was taken ended. */
     public fun ended(now: Long)
 
--- /dev/null
+++ b/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/placement/AdapterPlacementTest.kt
@@ -0,0 +1,94 @@
+package io.apricotslip.rules.placement
+
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.ModelId
+import io.apricotslip.api.id.ZoneId
+import io.apricotslip.api.manifest.EngineEntry
+import io.apricotslip.api.peer.AdapterUse
+import io.apricotslip.api.peer.EngineStatus
+import io.apricotslip.api.work.WorkClass
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+
+class AdapterPlacementTest {
+    private val placement = AdapterPlacement()
+    private val engines = (1..5).map {
+        EngineEntry(BackendServerId("e$it"), ModelId("m"), ZoneId("z"), "127.0.0.1", 1, 4, 4)
+    }
+
+    private fun adapter(number: Int) = AdapterVersion.parse("club-$number@v1")!!
+
+    private fun request(number: Int) = PlacementRequest(adapter(number), WorkClass.INTERACTIVE, 100)
+
+    private fun status(server: BackendServerId, running: Int, adapters: List<AdapterVersion>, speed: Double = 400.0) =
+        EngineStatus(server, 4, 4, running, 0, 0, 0, true, speed, adapters.map { AdapterUse(it, 0, 0) })
+
+    @Nested
+    inner class `given idle engines` {
+        @Test
+        fun `all engines are ranked`() {
+            expectThat(placement.rank(request(1), engines, 0)).containsExactlyInAnyOrder(engines.map { it.id })
+        }
+
+        @Test
+        fun `every entry VM ranks an adapter alike`() {
+            expectThat(AdapterPlacement().rank(request(1), engines.reversed(), 0))
+                .isEqualTo(placement.rank(request(1), engines, 0))
+        }
+
+        @Test
+        fun `the engine that has the adapter comes first, candidate or not`() {
+            val last = placement.rank(request(1), engines, 0).last()
+            placement.learn(status(last, 0, listOf(adapter(1))), 0)
+            expectThat(placement.rank(request(1), engines, 0).first()).isEqualTo(last)
+        }
+    }
+
+    @Nested
+    inner class `given an engine with the adapter and a full queue` {
+        @Test
+        fun `a copy is begun elsewhere`() {
+            val home = placement.rank(request(1), engines, 0).first()
+            placement.learn(status(home, 200, listOf(adapter(1))), 0)
+            expectThat(placement.rank(request(1), engines, 0).first()).isNotEqualTo(home)
+        }
+
+        @Test
+        fun `requests sent since the last status count`() {
+            val home = placement.rank(request(1), engines, 0).first()
+            placement.learn(status(home, 0, listOf(adapter(1))), 0)
+            repeat(200) { placement.sent(adapter(1), home, 0) }
+            expectThat(placement.rank(request(1), engines, 0).first()).isNotEqualTo(home)
+        }
+    }
+
+    @Nested
+    inner class `given engines of different speed that have the adapter` {
+        @Test
+        fun `the faster comes first`() {
+            engines.forEach {
+                placement.learn(
+                    status(
+                        it.id,
+                        0,
+                        listOf(adapter(1)),
+                        if (it.id.value ==
+                            "e3"
+                        ) {
+                            800.0
+                        } else {
+                            200.0
+                        },
+                    ),
+                    0,
+                )
+            }
+            expectThat(placement.rank(request(1), engines, 0).first()).isEqualTo(BackendServerId("e3"))
+        }
+    }
+}
--- /dev/null
+++ b/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/store/StoreShareTest.kt
@@ -0,0 +1,106 @@
+package io.apricotslip.rules.store
+
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+
+class StoreShareTest {
+    private val second = 1_000_000_000L
+
+    private fun taken(share: StoreShare, from: Long, to: Long): Int =
+        (from..to step 10_000_000L).count { now -> share.tryTake(now).also { if (it) share.ended(now) } }
+
+    @Nested
+    inner class `given one VM` {
+        @ParameterizedTest
+        @CsvSource("2.0, 1.0, 20", "2.0, 0.5, 10", "5.5, 0.2, 11", "5.5, 0.0, 0")
+        fun `it takes its part of the rate in ten seconds, and none at the start`(
+            rate: Double,
+            part: Double,
+            loads: Int,
+        ) {
+            val share = StoreShare(rate, 1, 8, part)
+            expectThat(share.tryTake(0)).isFalse()
+            expectThat(taken(share, 0, 10 * second)).isEqualTo(loads)
+        }
+
+        @Test
+        fun `loads in flight are bounded by its part of the limit`() {
+            val share = StoreShare(100.0, 2, 16, 0.25)
+            val taken = (1..1_000L).count { share.tryTake(it * 100_000_000L) }
+            expectThat(taken).isEqualTo(4)
+        }
+
+        @Test
+        fun `idle time saves up no more than the burst`() {
+            val share = StoreShare(2.0, 1, 8, 0.5)
+            share.tryTake(0)
+            expectThat((1..10).count { share.tryTake(3600 * second).also { _ -> share.ended(0) } }).isEqualTo(1)
+        }
+    }
+
+    @Nested
+    inner class `given a changed list of VMs` {
+        @ParameterizedTest
+        @CsvSource("0.5, 0.25, 5, 3", "0.25, 0.5, 5, 2", "0.25, 0.5, 10, 7")
+        fun `a cut counts at once and a rise after five seconds`(from: Double, to: Double, seconds: Long, loads: Int) {
+            val share = StoreShare(2.0, 1, 8, from, StoreShareOptions(minBurst = 1.0))
+            share.tryTake(0)
+            share.resize(to, 0)
+            expectThat(taken(share, 0, seconds * second)).isLessThanOrEqualTo(loads)
+        }
+    }
+
+    @Nested
+    inner class `given a loan` {
+        @Test
+        fun `what is lent is subtracted first`() {
+            val share = StoreShare(2.0, 1, 8, 1.0)
+            share.tryTake(0)
+            share.nextAt(second)
+            expectThat(share.lend(0.6, second + 600_000_000, LoadUrgency.INTERACTIVE)).isEqualTo(0.6)
+            expectThat(share.tryTake(second + 600_000_000)).isFalse()
+        }
+
+        @Test
+        fun `a VM that waits itself lends only to a more urgent load`() {
+            val share = StoreShare(2.0, 1, 8, 0.1)
+            share.nextAt(0)
+            share.tryTake(second, LoadUrgency.PLAN)
+            expectThat(share.lend(0.1, second, LoadUrgency.PLAN)).isEqualTo(0.0)
+            expectThat(share.lend(0.1, second, LoadUrgency.INTERACTIVE)).isEqualTo(0.1)
+        }
+
+        @Test
+        fun `a borrower takes a load with it`() {
+            val share = StoreShare(2.0, 1, 8, 0.1)
+            share.tryTake(0)
+            share.borrowed(1.0, 0)
+            expectThat(share.tryTake(0)).isTrue()
+        }
+    }
+
+    @Nested
+    inner class `given loads of several urgencies` {
+        @Test
+        fun `a less urgent one waits while a more urgent one was refused lately`() {
+            val share = StoreShare(2.0, 1, 8, 1.0)
+            share.tryTake(0, LoadUrgency.INTERACTIVE)
+            expectThat(share.tryTake(500_000_000, LoadUrgency.PLAN)).isFalse()
+            expectThat(share.tryTake(500_000_000, LoadUrgency.INTERACTIVE)).isTrue()
+        }
+
+        @Test
+        fun `a demand that is not repeated is forgotten`() {
+            val share = StoreShare(2.0, 1, 8, 1.0)
+            share.tryTake(0, LoadUrgency.INTERACTIVE)
+            expectThat(share.tryTake(second, LoadUrgency.PLAN)).isTrue()
+        }
+    }
+}
