--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.apricotslip.core
-
-internal const val MODULE = "apricotslip-core"
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -0,0 +1,178 @@
+package io.apricotslip.core
+
+import io.apricotslip.api.id.Incarnation
+import io.apricotslip.backends.engine.EngineClientOptions
+import io.apricotslip.backends.service.HttpServiceClient
+import io.apricotslip.backends.service.ServiceClientOptions
+import io.apricotslip.core.entry.EntryCalls
+import io.apricotslip.core.entry.EntryContext
+import io.apricotslip.core.entry.EntryRouter
+import io.apricotslip.core.fleet.Readiness
+import io.apricotslip.core.fleet.StoreShares
+import io.apricotslip.core.http.CallerServer
+import io.apricotslip.core.link.Links
+import io.apricotslip.core.loop.NodeLoop
+import io.apricotslip.core.manifest.ManifestKeeper
+import io.apricotslip.core.observe.HistoryRecorder
+import io.apricotslip.core.observe.NodeMetrics
+import io.apricotslip.core.observe.NodeTraces
+import io.apricotslip.core.operators.OperatorServer
+import io.apricotslip.core.operators.OperatorView
+import io.apricotslip.core.owner.EngineOwnerFactory
+import io.apricotslip.core.owner.EngineOwners
+import io.apricotslip.core.owner.OwnerContext
+import io.apricotslip.core.service.HomeCalls
+import io.apricotslip.core.service.RepeatableCalls
+import io.apricotslip.core.service.ServiceCalls
+import io.apricotslip.platform.HttpPlatformClient
+import io.apricotslip.platform.PlatformClient
+import io.apricotslip.rules.limits.AdmissionLimits
+import io.apricotslip.rules.limits.RetryBudget
+import io.apricotslip.rules.placement.AdapterPlacement
+import io.apricotslip.rules.placement.Placement
+import io.apricotslip.safety.EvictGuard
+import io.apricotslip.safety.FenceCounter
+import io.apricotslip.safety.Membership
+import io.apricotslip.safety.Reservations
+import io.apricotslip.settings.NodeSettings
+import io.apricotslip.wire.KtorPeerNetwork
+import io.apricotslip.wire.PeerNetwork
+import kotlin.random.Random
+
+/** The parts of a node, each made from the settings. */
+internal class NodeParts(
+    val settings: NodeSettings,
+    incarnation: Incarnation,
+) : AutoCloseable {
+    private val self = settings.vm.id
+    private val random = Random(incarnation.value)
+
+    val loop = NodeLoop()
+    val startedAt: Long = loop.now()
+    val history = HistoryRecorder(self, settings.history.file)
+    val metrics = NodeMetrics()
+    val traces = NodeTraces(self.value, settings.traces)
+    val network: PeerNetwork =
+        KtorPeerNetwork(
+            self = self,
+            incarnation = incarnation,
+            address = settings.vm.address,
+            port = settings.peers.port,
+            options = SettingsMapping.links(settings.peers),
+        )
+    val links = Links(self, network, loop)
+    val platform: PlatformClient =
+        HttpPlatformClient(
+            configuration = settings.platform.configuration.toInet(),
+            vms = settings.platform.vms.toInet(),
+            options = SettingsMapping.platform(settings.platform),
+        )
+    val membership =
+        Membership(
+            self = self,
+            leaseNanos = settings.peers.leaseMillis * NANOS_PER_MILLI,
+            heartbeatNanos = settings.peers.heartbeatMillis * NANOS_PER_MILLI,
+            started = loop.now(),
+        )
+    val guard = EvictGuard(self, membership)
+    val manifests = ManifestKeeper(loop, history)
+    val readiness = Readiness(self, loop, membership, manifests)
+    val shares = StoreShares(self, loop, links)
+    val placement: Placement = AdapterPlacement(SettingsMapping.placement(settings.policy), random)
+    private val retries = RetryBudget(settings.limits.retryBudgetRatio)
+    private val serviceClient = HttpServiceClient(ServiceClientOptions())
+
+    private val ownerContext =
+        OwnerContext(
+            self = self,
+            settings = settings,
+            loop = loop,
+            links = links,
+            membership = membership,
+            guard = guard,
+            fences = FenceCounter(),
+            metrics = metrics,
+            traces = traces,
+            history = history,
+        )
+    val owners =
+        EngineOwners(
+            ctx = ownerContext,
+            factory =
+                EngineOwnerFactory(
+                    ctx = ownerContext,
+                    options = SettingsMapping.scheduler(settings.policy, settings.limits),
+                    clients = EngineClientOptions(),
+                    random = random,
+                    budget = shares,
+                ),
+        )
+    private val entryContext =
+        EntryContext(
+            self = self,
+            settings = settings,
+            loop = loop,
+            links = links,
+            membership = membership,
+            manifests = manifests,
+            metrics = metrics,
+            traces = traces,
+            history = history,
+            ready = { readiness.reasons().isEmpty() },
+        )
+    val entry =
+        EntryCalls(
+            ctx = entryContext,
+            limits = AdmissionLimits(SettingsMapping.admission(settings.limits)),
+            router = EntryRouter(entryContext, placement, retries),
+        )
+    val services = ServiceCalls(entryContext, RepeatableCalls(entryContext, serviceClient, retries))
+    val home =
+        HomeCalls(
+            ctx = entryContext,
+            reservations =
+                Reservations(
+                    self = self,
+                    membership = membership,
+                    skewMillis = settings.reservations.clockSkewMillis,
+                    retentionMillis = settings.reservations.retentionMillis,
+                ),
+            client = serviceClient,
+            wallMillis = System::currentTimeMillis,
+        )
+
+    init {
+        metrics.watch("apricotslip_manifest_revision", "Revision in force.") { manifests.revision.value.toDouble() }
+        metrics.watch("apricotslip_list_revision", "Revision of the adopted list of VMs.") {
+            membership.list.revision.value.toDouble()
+        }
+        metrics.watch("apricotslip_lease_held", "1 while a majority answers.") {
+            if (membership.leaseHeld(loop.now())) 1.0 else 0.0
+        }
+        metrics.watch("apricotslip_requests_running", "Requests under way.") { underWay().toDouble() }
+    }
+
+    /** Requests that callers wait for, or that run here for other VMs. */
+    fun underWay(): Int = entry.size + services.size + home.running + owners.all().sumOf { it.size }
+
+    /** Refuses new requests from now on. */
+    fun stopAdmitting() {
+        entry.stopping = true
+        services.stopping = true
+    }
+
+    fun operatorServer(view: OperatorView) = OperatorServer(settings.operators, view)
+
+    fun callerServer() = CallerServer(self.value, settings.callers, entry, services)
+
+    override fun close() {
+        network.close()
+        loop.close()
+        traces.close()
+        history.close()
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/SettingsMapping.kt
@@ -0,0 +1,64 @@
+package io.apricotslip.core
+
+import io.apricotslip.platform.PlatformOptions
+import io.apricotslip.rules.engine.SchedulerGoal
+import io.apricotslip.rules.engine.SchedulerOptions
+import io.apricotslip.rules.limits.AdmissionOptions
+import io.apricotslip.rules.placement.PlacementOptions
+import io.apricotslip.settings.Goal
+import io.apricotslip.settings.LimitSettings
+import io.apricotslip.settings.PeerSettings
+import io.apricotslip.settings.PlatformAddress
+import io.apricotslip.settings.PlatformSettings
+import io.apricotslip.settings.PolicySettings
+import io.apricotslip.wire.LinkOptions
+import java.net.InetSocketAddress
+
+/** Turns settings into the options of each module. */
+internal object SettingsMapping {
+    fun links(s: PeerSettings) =
+        LinkOptions(
+            heartbeatMillis = s.heartbeatMillis,
+            silentMillis = s.silentMillis,
+            reconnectMillis = s.reconnectMillis,
+            maxFrameBytes = s.maxFrameBytes,
+            maxQueuedBytes = s.maxQueuedBytes,
+        )
+
+    fun platform(s: PlatformSettings) =
+        PlatformOptions(
+            watchMillis = s.watchMillis,
+            timeoutMillis = s.timeoutMillis,
+            retryMillis = s.retryMillis,
+            maxRetryMillis = s.maxRetryMillis,
+        )
+
+    fun scheduler(
+        policy: PolicySettings,
+        limits: LimitSettings,
+    ) = SchedulerOptions(
+        goal =
+            when (policy.goal) {
+                Goal.LOAD_STALLS -> SchedulerGoal.LOAD_STALLS
+                Goal.BATCH_EFFICIENCY -> SchedulerGoal.BATCH_EFFICIENCY
+            },
+        queueLimit = limits.queuePerEngine,
+        popularityHalfLifeMillis = policy.popularityHalfLifeMillis,
+        loadBackoffMillis = policy.loadBackoffMillis,
+        maxLoadBackoffMillis = policy.maxLoadBackoffMillis,
+        deferrableMaxWaitMillis = policy.deferrableMaxWaitMillis,
+    )
+
+    fun placement(s: PolicySettings) = PlacementOptions(candidates = s.candidates)
+
+    fun admission(s: LimitSettings) =
+        AdmissionOptions(
+            perCustomer = s.perCustomer,
+            interactive = s.interactive,
+            plan = s.plan,
+            deferrable = s.deferrable,
+        )
+}
+
+/** The address as a socket address; it is an IP number, so nothing is looked up. */
+internal fun PlatformAddress.toInet(): InetSocketAddress = InetSocketAddress(address, port)
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerAnswer.kt
@@ -0,0 +1,113 @@
+package io.apricotslip.core.http
+
+import io.apricotslip.api.id.RequestId
+import io.apricotslip.api.outcome.Refusal
+import io.apricotslip.core.entry.Binding
+import io.apricotslip.core.entry.CallEvent
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.handler.codec.http.HttpHeaderNames
+import org.reactivestreams.Publisher
+import reactor.core.publisher.Flux
+import reactor.core.publisher.Mono
+import reactor.netty.http.server.HttpServerResponse
+
+/** Writes the answer of one request to its caller. */
+internal class CallerAnswer(
+    private val response: HttpServerResponse,
+    private val request: RequestId,
+    private val writer: AnswerWriter,
+) {
+    /** Streams [events] as SSE; a refusal before the first token is an ordinary response with a status of its own. */
+    fun stream(events: Flux<CallEvent>): Mono<Void> =
+        withBinding(events) { binding, rest ->
+            rest
+                .switchOnFirst { first, all ->
+                    val event = first.get()
+                    if (event is CallEvent.Refused) refuse(response, request, event.refusal) else sse(binding, all)
+                }.then()
+        }
+
+    /** Answers with one JSON body. */
+    fun whole(events: Flux<CallEvent>): Mono<Void> =
+        withBinding(events) { binding, rest ->
+            rest.collectList().flatMap { all ->
+                when (val last = all.lastOrNull()) {
+                    is CallEvent.End -> body(binding, all, last)
+                    is CallEvent.Refused -> refuse(response, request, last.refusal)
+                    else -> Mono.empty()
+                }
+            }
+        }
+
+    private fun withBinding(
+        events: Flux<CallEvent>,
+        write: (Binding, Flux<CallEvent>) -> Mono<Void>,
+    ): Mono<Void> =
+        events
+            .switchOnFirst { first, all ->
+                when (val event = first.get()) {
+                    is CallEvent.Admitted -> write(event.binding, all.skip(1))
+                    is CallEvent.Refused -> all.then(refuse(response, request, event.refusal))
+                    else -> all.then()
+                }
+            }.then()
+
+    private fun sse(
+        binding: Binding,
+        events: Flux<CallEvent>,
+    ): Publisher<Void> {
+        headers(binding)
+        val frames = events.concatMapIterable { frames(it, binding) }.map(::buffer)
+        return response.sse().send(frames) { true }
+    }
+
+    private fun frames(
+        event: CallEvent,
+        binding: Binding,
+    ): List<String> {
+        val data = "data: ${writer.event(event, binding)}\n\n"
+        return if (event is CallEvent.End) listOf(data, DONE) else listOf(data)
+    }
+
+    private fun body(
+        binding: Binding,
+        events: List<CallEvent>,
+        end: CallEvent.End,
+    ): Mono<Void> {
+        headers(binding)
+        response.header(CallerHeaders.SERVER, end.server.value)
+        response.header(HttpHeaderNames.CONTENT_TYPE, JSON)
+        val text = events.filterIsInstance<CallEvent.Token>().joinToString("") { it.text }
+        return response.sendString(Mono.just(writer.whole(text, end, binding))).then()
+    }
+
+    private fun headers(binding: Binding) {
+        response
+            .header(CallerHeaders.REQUEST, request.value)
+            .header(CallerHeaders.ADAPTER, binding.adapter.adapter.value)
+            .header(CallerHeaders.VERSION, binding.adapter.version.value)
+            .header(CallerHeaders.REVISION, binding.revision.value.toString())
+    }
+
+    private fun buffer(text: String): ByteBuf = ByteBufUtil.writeUtf8(UnpooledByteBufAllocator.DEFAULT, text)
+
+    companion object {
+        private const val JSON = "application/json"
+        private const val DONE = "data: [DONE]\n\n"
+
+        /** Answers with [refusal] as JSON and its status. */
+        fun refuse(
+            response: HttpServerResponse,
+            request: RequestId,
+            refusal: Refusal,
+        ): Mono<Void> =
+            response
+                .status(refusal.code.httpStatus)
+                .header(CallerHeaders.REQUEST, request.value)
+                .header(HttpHeaderNames.CONTENT_TYPE, JSON)
+                .sendString(Mono.just(AnswerWriter.refusal(refusal, request.value)))
+                .then()
+    }
+}
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/observe/HistoryRecorder.kt
@@ -0,0 +1,40 @@
+package io.apricotslip.core.observe
+
+import io.apricotslip.api.history.EventKind
+import io.apricotslip.api.history.HistoryEvent
+import io.apricotslip.api.id.VmId
+import kotlinx.serialization.json.Json
+import java.io.BufferedWriter
+import java.io.File
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.Executors
+
+/** Records a history for the checkers of the tests, when the settings name a file. */
+internal class HistoryRecorder(
+    private val vm: VmId,
+    file: String?,
+) : AutoCloseable {
+    private val writer: BufferedWriter? = file?.let { File(it).bufferedWriter() }
+    private val thread: ExecutorService? = writer?.let { newThread() }
+
+    /** Writes the event that [build] makes; does nothing without a file. */
+    fun record(
+        kind: EventKind,
+        build: HistoryEvent.() -> HistoryEvent,
+    ) {
+        val out = writer ?: return
+        val event = HistoryEvent(at = System.nanoTime(), process = vm.value, kind = kind).build()
+        thread?.execute {
+            out.write(Json.encodeToString(HistoryEvent.serializer(), event))
+            out.newLine()
+            out.flush()
+        }
+    }
+
+    override fun close() {
+        thread?.shutdown()
+    }
+
+    private fun newThread(): ExecutorService =
+        Executors.newSingleThreadExecutor { Thread(it, "history").apply { isDaemon = true } }
+}
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/observe/NodeMetrics.kt
@@ -0,0 +1,139 @@
+package io.apricotslip.core.observe
+
+import io.apricotslip.api.outcome.Refusal
+import io.apricotslip.api.work.WorkClass
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Metrics of a node, in a registry of their own. */
+internal class NodeMetrics {
+    private val registry = PrometheusRegistry()
+
+    private val stalls: Histogram =
+        Histogram
+            .builder()
+            .name("apricotslip_load_stall_seconds")
+            .help("Time that a request waited for its adapter, at the owner of the engine.")
+            .labelNames("class")
+            .classicUpperBounds(*STALL_BOUNDS)
+            .register(registry)
+
+    private val firstToken: Histogram =
+        Histogram
+            .builder()
+            .name("apricotslip_first_token_seconds")
+            .help("Time from admission to the first token, at the entry VM.")
+            .labelNames("class")
+            .classicUpperBounds(*STALL_BOUNDS)
+            .register(registry)
+
+    private val refusals: Counter = counter("apricotslip_refusals", "Refused requests.", "code", "step", "outcome")
+    private val admitted: Counter = counter("apricotslip_requests", "Admitted requests.", "class")
+    private val completed: Counter = counter("apricotslip_requests_completed", "Whole answers.", "class")
+    private val tokens: Counter = counter("apricotslip_tokens", "Tokens passed on to callers.")
+    private val orders: Counter = counter("apricotslip_orders", "Orders to engines.", "order", "result")
+    private val retries: Counter = counter("apricotslip_retries", "Requests placed again.", "reason")
+    private val reservations: Counter = counter("apricotslip_reservations", "Calls decided by their home VM.", "decision")
+    private val running: Gauge = gauge("apricotslip_engine_running", "Requests running on an owned engine.", "server")
+    private val batch: Gauge = gauge("apricotslip_batch_efficiency", "Share of the batch of an owned engine in use.", "server")
+    private val queued: Gauge = gauge("apricotslip_engine_queue", "Requests waiting at the owner.", "server")
+
+    /** Registers a gauge that is read when metrics are asked for. */
+    fun watch(
+        name: String,
+        help: String,
+        read: () -> Double,
+    ) {
+        GaugeWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(read()) }
+            .register(registry)
+    }
+
+    fun stalled(
+        workClass: WorkClass,
+        nanos: Long,
+    ): Unit = stalls.labelValues(workClass.label).observe(nanos / NANOS_PER_SECOND)
+
+    fun firstToken(
+        workClass: WorkClass,
+        nanos: Long,
+    ): Unit = firstToken.labelValues(workClass.label).observe(nanos / NANOS_PER_SECOND)
+
+    fun refused(refusal: Refusal): Unit =
+        refusals.labelValues(refusal.code.label, refusal.step.label, refusal.certainty.label).inc()
+
+    fun admitted(workClass: WorkClass): Unit = admitted.labelValues(workClass.label).inc()
+
+    fun completed(
+        workClass: WorkClass,
+        total: Int,
+    ) {
+        completed.labelValues(workClass.label).inc()
+        tokens.inc(total.toLong())
+    }
+
+    fun ordered(
+        order: String,
+        result: String,
+    ): Unit = orders.labelValues(order, result).inc()
+
+    fun retried(reason: String): Unit = retries.labelValues(reason).inc()
+
+    fun reservation(decision: String): Unit = reservations.labelValues(decision).inc()
+
+    fun engine(
+        server: String,
+        runningNow: Int,
+        batchSize: Int,
+        waiting: Int,
+    ) {
+        running.labelValues(server).set(runningNow.toDouble())
+        batch.labelValues(server).set(runningNow.toDouble() / batchSize)
+        queued.labelValues(server).set(waiting.toDouble())
+    }
+
+    /** All metrics in the Prometheus text format. */
+    fun text(): String {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(out, registry.scrape())
+        return out.toString(Charsets.UTF_8)
+    }
+
+    private fun counter(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Counter =
+        Counter
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames(*labels)
+            .register(registry)
+
+    private fun gauge(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Gauge =
+        Gauge
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames(*labels)
+            .register(registry)
+
+    private companion object {
+        const val NANOS_PER_SECOND = 1e9
+        val STALL_BOUNDS =
+            doubleArrayOf(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0)
+    }
+}
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/operators/NodeView.kt
@@ -0,0 +1,109 @@
+package io.apricotslip.core.operators
+
+import io.apricotslip.api.operators.DrainAnswer
+import io.apricotslip.api.operators.EngineRole
+import io.apricotslip.api.operators.FaultAnswer
+import io.apricotslip.api.operators.ManifestInForce
+import io.apricotslip.api.operators.NodeStatus
+import io.apricotslip.api.operators.PeerStatus
+import io.apricotslip.api.operators.RefusedManifest
+import io.apricotslip.api.operators.RunningRequest
+import io.apricotslip.api.id.ListRevision
+import io.apricotslip.api.id.ManifestRevision
+import io.apricotslip.core.NodeParts
+import io.apricotslip.core.owner.EngineOwner
+import io.apricotslip.safety.Role
+import io.apricotslip.settings.BuildVersion
+import reactor.core.publisher.Mono
+
+/** Answers operators from the state of the node, on its loop. */
+internal class NodeView(
+    private val parts: NodeParts,
+    private val stop: () -> Mono<Void>,
+) : OperatorView {
+    override fun status(): Mono<NodeStatus> = onLoop(::makeStatus)
+
+    override fun manifest(): Mono<ManifestInForce> = onLoop(::makeManifest)
+
+    override fun refused(): Mono<List<RefusedManifest>> =
+        onLoop {
+            parts.manifests.refused.reversed().map { offer ->
+                RefusedManifest(
+                    publishedRevision = offer.publishedRevision,
+                    source = offer.source,
+                    agoMillis = (parts.loop.now() - offer.at) / NANOS_PER_MILLI,
+                    faults = offer.faults.map { FaultAnswer(it.path, it.reason) },
+                )
+            }
+        }
+
+    override fun running(): Mono<List<RunningRequest>> = onLoop(parts.entry::running)
+
+    override fun drain(): Mono<DrainAnswer> =
+        onLoop {
+            stop().subscribe()
+            DrainAnswer(vm = parts.settings.vm.id, draining = true, running = parts.underWay())
+        }
+
+    override fun metrics(): Mono<String> = onLoop(parts.metrics::text)
+
+    private fun makeStatus() =
+        NodeStatus(
+            vm = parts.settings.vm.id,
+            zone = parts.settings.vm.zone,
+            version = BuildVersion.value,
+            uptimeMillis = (parts.loop.now() - parts.startedAt) / NANOS_PER_MILLI,
+            notReady = parts.readiness.reasons(),
+            stopping = parts.readiness.stopping,
+            leaseHeld = parts.membership.leaseHeld(parts.loop.now()),
+            listRevision = parts.membership.list.revision,
+            tenuredRevision = parts.membership.tenured?.revision ?: ListRevision(0),
+            manifestRevision = parts.manifests.current?.revision,
+            running = parts.underWay(),
+            peers = peers(),
+            engines = parts.owners.all().map(::engine),
+        )
+
+    private fun peers(): List<PeerStatus> =
+        parts.membership.list.vms.map { it.id }.filter { it != parts.settings.vm.id }.map {
+            PeerStatus(
+                vm = it,
+                connected = parts.links.isUp(it),
+                listRevision = parts.membership.peerRevision(it) ?: ListRevision(0),
+                manifestRevision = parts.membership.peerManifest(it) ?: ManifestRevision(0),
+            )
+        }
+
+    private fun engine(owner: EngineOwner) =
+        EngineRole(
+            server = owner.entry().id,
+            role =
+                when (owner.role()) {
+                    is Role.Owner -> "owner"
+                    is Role.Standby -> "standby"
+                    is Role.None -> "none"
+                },
+            reachable = owner.reachable,
+            status = owner.status(),
+        )
+
+    private fun makeManifest(): ManifestInForce {
+        val m = parts.manifests.current
+        return ManifestInForce(
+            vm = parts.settings.vm.id,
+            revision = m?.revision,
+            source = parts.manifests.source,
+            inForceMillis = if (m == null) 0 else (parts.loop.now() - parts.manifests.inForceAt) / NANOS_PER_MILLI,
+            models = m?.models?.size ?: 0,
+            adapters = m?.adapters?.size ?: 0,
+            engines = m?.engines?.size ?: 0,
+            services = m?.services?.size ?: 0,
+        )
+    }
+
+    private fun <T : Any> onLoop(read: () -> T): Mono<T> = Mono.fromCallable(read).subscribeOn(parts.loop.scheduler)
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
@@ -0,0 +1,238 @@
+package io.apricotslip.core.owner
+
+import io.apricotslip.api.history.EventKind
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.manifest.FenceCheck
+import io.apricotslip.api.manifest.WhenFull
+import io.apricotslip.backends.engine.EngineClient
+import io.apricotslip.backends.engine.OrderResult
+import io.apricotslip.rules.engine.EngineScheduler
+import io.apricotslip.safety.EvictTicket
+import io.apricotslip.safety.EvictVerdict
+import io.apricotslip.safety.FenceAdvice
+import org.tinylog.kotlin.Logger
+
+/** Gives load and evict orders to one engine, each only after the guard agreed in the same turn. Used on the loop. */
+internal class EngineOrders(
+    private val ctx: OwnerContext,
+    private val client: EngineClient,
+    private val scheduler: EngineScheduler,
+    private val changed: () -> Unit,
+) {
+    private val server = client.engine.id
+    private val checked = client.engine.fence == FenceCheck.CHECKED
+    private val pending = mutableListOf<PendingEvict>()
+    private val pendingLoads = mutableListOf<PendingEvict>()
+
+    /** Loads in flight at this engine, given by this node. */
+    var loading: Int = 0
+        private set
+
+    private class PendingEvict(
+        val ticket: EvictTicket,
+        val adapter: AdapterVersion,
+        val since: Long,
+    )
+
+    /** Loads [adapter]; where a full engine makes room by itself, only with consent. */
+    fun load(adapter: AdapterVersion) {
+        if (client.engine.whenFull == WhenFull.REFUSES) return sendLoad(adapter, retries = MAX_FENCE_RETRIES) {}
+        val ticket = ctx.guard.loadTicket(server, adapter, ctx.loop.now())
+        ctx.links.send(ticket.asks)
+        pendingLoads += PendingEvict(ticket, adapter, ctx.loop.now())
+        settle()
+    }
+
+    /** Asks for consent to evict [adapter] and evicts it once all agreed. */
+    fun evict(adapter: AdapterVersion) {
+        val ticket = ctx.guard.ask(server, adapter, ctx.loop.now())
+        ctx.links.send(ticket.asks)
+        pending += PendingEvict(ticket, adapter, ctx.loop.now())
+        settle()
+    }
+
+    /** An order without effect, whose answer puts later reports after this moment. */
+    fun touch(resident: AdapterVersion) {
+        val fence = ctx.fences.next(server, ctx.membership.list.revision)
+        client.load(resident, fence).publishOn(ctx.loop.scheduler).subscribe { result ->
+            ctx.metrics.ordered("touch", label(result))
+            if (result is OrderResult.Done) ctx.guard.orderAcknowledged(server, result.sequence)
+            if (result is OrderResult.StaleFence) advise(result)
+            changed()
+        }
+    }
+
+    /** Carries out what became ready, and gives up what waited too long. */
+    fun settle() {
+        pending.toList().forEach(::settleEvict)
+        pendingLoads.toList().forEach(::settleLoad)
+    }
+
+    private fun settleEvict(evict: PendingEvict) {
+        val now = ctx.loop.now()
+        when (val verdict = ctx.guard.verdict(evict.ticket, now)) {
+            is EvictVerdict.Ready -> {
+                pending -= evict
+                sendEvict(evict, retries = MAX_FENCE_RETRIES)
+            }
+
+            is EvictVerdict.Refused -> giveUp(evict, "refused by ${verdict.by}")
+
+            is EvictVerdict.Waiting -> {
+                if (now - evict.since > CONSENT_TIMEOUT_NANOS) giveUp(evict, "no answer of ${verdict.missing}")
+            }
+        }
+    }
+
+    private fun settleLoad(load: PendingEvict) {
+        val now = ctx.loop.now()
+        when (ctx.guard.verdict(load.ticket, now)) {
+            is EvictVerdict.Ready -> {
+                pendingLoads -= load
+                ctx.guard.sent(load.ticket)
+                sendLoad(load.adapter, MAX_FENCE_RETRIES) { ctx.links.send(ctx.guard.done(load.ticket)) }
+            }
+
+            is EvictVerdict.Refused -> giveUpLoad(load)
+
+            is EvictVerdict.Waiting -> {
+                if (now - load.since > CONSENT_TIMEOUT_NANOS) giveUpLoad(load)
+            }
+        }
+    }
+
+    private fun giveUp(
+        evict: PendingEvict,
+        reason: String,
+    ) {
+        pending -= evict
+        ctx.links.send(ctx.guard.done(evict.ticket))
+        scheduler.evictRefused(evict.adapter, ctx.loop.now())
+        ctx.metrics.ordered("evict", "no_consent")
+        Logger.debug("event=evict_given_up step=load peer={} adapter={} reason=\"{}\"", server, evict.adapter, reason)
+        changed()
+    }
+
+    private fun giveUpLoad(load: PendingEvict) {
+        pendingLoads -= load
+        ctx.links.send(ctx.guard.done(load.ticket))
+        scheduler.loadFailed(load.adapter, ctx.loop.now())
+        changed()
+    }
+
+    private fun sendEvict(
+        evict: PendingEvict,
+        retries: Int,
+    ) {
+        ctx.guard.sent(evict.ticket)
+        val fence = ctx.fences.next(server, ctx.membership.list.revision)
+        client.evict(evict.adapter, fence).publishOn(ctx.loop.scheduler).subscribe { result ->
+            ctx.metrics.ordered("evict", label(result))
+            when (result) {
+                is OrderResult.Done -> evicted(evict, result.sequence)
+                is OrderResult.StaleFence -> retryEvict(evict, result, retries)
+                is OrderResult.Rejected -> rejected(evict, result)
+                is OrderResult.Unanswered -> unanswered(evict)
+            }
+            changed()
+        }
+    }
+
+    private fun evicted(
+        evict: PendingEvict,
+        sequence: Long,
+    ) {
+        ctx.guard.orderAcknowledged(server, sequence)
+        ctx.links.send(ctx.guard.done(evict.ticket))
+        scheduler.evicted(evict.adapter, ctx.loop.now())
+        ctx.history.record(EventKind.EVICT) { copy(server = client.engine.id.value, adapter = evict.adapter.toString()) }
+    }
+
+    private fun retryEvict(
+        evict: PendingEvict,
+        result: OrderResult.StaleFence,
+        retries: Int,
+    ) {
+        val mayRetry = advise(result) == FenceAdvice.Retry && retries > 0
+        if (mayRetry && ctx.guard.verdict(evict.ticket, ctx.loop.now()) is EvictVerdict.Ready) {
+            sendEvict(evict, retries - 1)
+        } else {
+            giveUp(evict, "stale fence")
+        }
+    }
+
+    private fun rejected(
+        evict: PendingEvict,
+        result: OrderResult.Rejected,
+    ) {
+        if (result.reason != NOT_RESIDENT) return giveUp(evict, result.reason)
+        ctx.links.send(ctx.guard.done(evict.ticket))
+        scheduler.evicted(evict.adapter, ctx.loop.now())
+    }
+
+    private fun unanswered(evict: PendingEvict) {
+        ctx.links.send(ctx.guard.unanswered(evict.ticket, checked))
+        scheduler.evicted(evict.adapter, ctx.loop.now())
+        Logger.warn("event=evict_unanswered step=load peer={} adapter={} fenced={}", server, evict.adapter, checked)
+    }
+
+    private fun sendLoad(
+        adapter: AdapterVersion,
+        retries: Int,
+        ended: () -> Unit,
+    ) {
+        loading++
+        val fence = ctx.fences.next(server, ctx.membership.list.revision)
+        client.load(adapter, fence).publishOn(ctx.loop.scheduler).subscribe { result ->
+            loading--
+            ctx.metrics.ordered("load", label(result))
+            when (result) {
+                is OrderResult.Done -> loaded(adapter, result.sequence)
+
+                is OrderResult.StaleFence -> {
+                    val mayRetry = advise(result) == FenceAdvice.Retry && retries > 0
+                    if (mayRetry) return@subscribe sendLoad(adapter, retries - 1, ended)
+                    scheduler.loadFailed(adapter, ctx.loop.now())
+                }
+
+                is OrderResult.Rejected, is OrderResult.Unanswered -> loadFailed(adapter, result)
+            }
+            ended()
+            changed()
+        }
+    }
+
+    private fun loaded(
+        adapter: AdapterVersion,
+        sequence: Long,
+    ) {
+        ctx.guard.orderAcknowledged(server, sequence)
+        scheduler.loaded(adapter, ctx.loop.now())
+        ctx.history.record(EventKind.LOAD) { copy(server = client.engine.id.value, adapter = adapter.toString()) }
+    }
+
+    private fun loadFailed(
+        adapter: AdapterVersion,
+        result: OrderResult,
+    ) {
+        scheduler.loadFailed(adapter, ctx.loop.now())
+        Logger.warn("event=load_failed step=load peer={} adapter={} result={}", server, adapter, label(result))
+    }
+
+    private fun advise(result: OrderResult.StaleFence): FenceAdvice =
+        ctx.fences.stale(server, result.highest, ctx.membership.list.revision)
+
+    private fun label(result: OrderResult): String =
+        when (result) {
+            is OrderResult.Done -> "done"
+            is OrderResult.StaleFence -> "stale_fence"
+            is OrderResult.Rejected -> result.reason
+            is OrderResult.Unanswered -> "unanswered"
+        }
+
+    private companion object {
+        const val CONSENT_TIMEOUT_NANOS = 1_000_000_000L
+        const val MAX_FENCE_RETRIES = 3
+        const val NOT_RESIDENT = "not_resident"
+    }
+}
--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerStreams.kt
@@ -0,0 +1,297 @@
+package io.apricotslip.core.owner
+
+import io.apricotslip.api.history.EventKind
+import io.apricotslip.api.id.RequestId
+import io.apricotslip.api.id.VmId
+import io.apricotslip.api.outcome.Certainty
+import io.apricotslip.api.outcome.Refusal
+import io.apricotslip.api.outcome.RefusalCode
+import io.apricotslip.api.outcome.Step
+import io.apricotslip.backends.engine.EngineClient
+import io.apricotslip.backends.engine.EngineEvent
+import io.apricotslip.backends.engine.EngineException
+import io.apricotslip.backends.engine.EngineRequest
+import io.apricotslip.core.observe.HopSpans
+import io.apricotslip.wire.Message
+import io.apricotslip.wire.SendResult
+import org.tinylog.kotlin.Logger
+import reactor.core.publisher.Flux
+
+/** The streams of one engine towards their entry VMs. Used on the loop. */
+internal class OwnerStreams(
+    private val ctx: OwnerContext,
+    private val client: EngineClient,
+    private val ended: (StreamEnding) -> Unit,
+) {
+    private val server = client.engine.id
+    private val window = ctx.settings.peers.streamWindowTokens
+    private val calls = LinkedHashMap<RequestId, OwnerCall>()
+
+    val size: Int get() = calls.size
+
+    operator fun get(request: RequestId): OwnerCall? = calls[request]
+
+    fun add(call: OwnerCall) {
+        calls[call.request] = call
+    }
+
+    /** Requests that were not started yet. */
+    fun waiting(): List<OwnerCall> = calls.values.filter { !it.started }
+
+    /** Requests that were not started yet and whose entry VM has been away for too long. */
+    fun orphanedWaiting(): List<OwnerCall> = waiting().filter(::isOrphaned)
+
+    private fun isOrphaned(call: OwnerCall): Boolean {
+        val since = call.orphanedAt ?: return false
+        return ctx.loop.now() - since > ctx.settings.peers.resumeMillis * NANOS_PER_MILLI
+    }
+
+    /** Starts [call] on the engine. The caller checked the guard in this very turn. */
+    fun start(
+        call: OwnerCall,
+        priority: Int,
+    ) {
+        val start = checkNotNull(call.start)
+        call.started = true
+        call.stallNanos = call.work?.let { ctx.loop.now() - it.arrivedAt } ?: 0
+        ctx.metrics.stalled(start.workClass, call.stallNanos)
+        ctx.guard.started(server, call.adapter, call.request)
+        ctx.history.record(EventKind.RUN) {
+            copy(
+                request = call.request.value,
+                server = client.engine.id.value,
+                adapter = call.adapter.adapter.value,
+                version = call.adapter.version.value,
+                revision = start.revision.value,
+            )
+        }
+        val span = HopSpans.engine(ctx.traces, call.span, server.value)
+        val request =
+            EngineRequest(
+                request = call.request,
+                adapter = call.adapter,
+                prompt = start.prompt,
+                maxTokens = start.maxTokens,
+                priority = priority,
+                traceparent = ctx.traces.traceparent(span),
+            )
+        subscribe(call, client.generate(request).doFinally { span.end() })
+    }
+
+    /** Sends the answer again to [from], or takes up the engine's stream of an owner that fell silent. */
+    fun resume(
+        from: VmId,
+        message: Message.GenerateResume,
+    ) {
+        val known = calls[message.request]
+        if (known != null) {
+            known.entry = from
+            known.orphanedAt = null
+            credit(known, message.from)
+            known.rewind(message.from)
+            return flush(known)
+        }
+        val call = OwnerCall(message.request, message.adapter, from, start = null, work = null, span = null)
+        call.attachAt(message.from)
+        add(call)
+        ctx.guard.started(server, call.adapter, call.request)
+        Logger.info("event=stream_taken_over step=stream peer={} request={} from={}", server, call.request, message.from)
+        subscribe(call, client.resume(call.request, message.from))
+    }
+
+    fun credit(
+        request: RequestId,
+        upTo: Int,
+    ) {
+        val call = calls[request] ?: return
+        credit(call, upTo)
+        val total = call.end?.total
+        if (total != null && call.endSent && upTo >= total) calls.remove(request)
+    }
+
+    private fun credit(
+        call: OwnerCall,
+        upTo: Int,
+    ) {
+        val freed = call.credit(upTo)
+        (call.stream as? EngineStream)?.more(freed)
+    }
+
+    /** Cancels a started request on the engine. */
+    fun cancel(request: RequestId) {
+        val call = calls[request] ?: return
+        call.stream?.dispose()
+        calls.remove(request)
+        if (call.end != null) return
+        client.cancel(request).subscribe({}, { logLost(call, it) })
+        finish(call)
+    }
+
+    /** Forgets a request that was never started. */
+    fun drop(request: RequestId) {
+        calls.remove(request)?.span?.end()
+    }
+
+    /** Refuses a request that was never started. */
+    fun refuse(
+        request: RequestId,
+        refusal: Refusal,
+    ) {
+        val call = calls.remove(request) ?: return
+        call.span?.end()
+        ctx.links.send(call.entry, Message.GenerateRefused(request, refusal))
+    }
+
+    fun peerChanged(
+        vm: VmId,
+        up: Boolean,
+    ) {
+        calls.values.filter { it.entry == vm }.forEach { it.orphanedAt = if (up) null else ctx.loop.now() }
+    }
+
+    /** Lets go of streams whose entry VM has been away for too long, and of ended ones that nobody asked for again. */
+    fun expire() {
+        calls.values.filter { it.started && isOrphaned(it) }.forEach(::abandon)
+        calls.values.filter { it.sentUpTo < it.next || (it.end != null && !it.endSent) }.forEach(::flush)
+    }
+
+    /** Closes the connection only: another VM may have taken up the stream, and the engine ends it when nobody has. */
+    private fun abandon(call: OwnerCall) {
+        call.stream?.dispose()
+        if (call.end == null) finish(call)
+        calls.remove(call.request)
+        Logger.info("event=stream_abandoned step=stream peer={} request={}", call.entry, call.request)
+    }
+
+    private fun subscribe(
+        call: OwnerCall,
+        events: Flux<EngineEvent>,
+    ) {
+        val stream = EngineStream(window, Listener(call))
+        call.stream = stream
+        events.publishOn(ctx.loop.scheduler, window).subscribe(stream)
+    }
+
+    private inner class Listener(
+        private val call: OwnerCall,
+    ) : EngineStreamListener {
+        override fun onEvent(event: EngineEvent) {
+            when (event) {
+                is EngineEvent.Token -> if (call.keep(event)) flush(call)
+                is EngineEvent.End -> whole(call, event)
+            }
+        }
+
+        override fun onFailure(error: Throwable): Unit = failed(call, error)
+
+        override fun onClosed() {
+            if (call.end == null) failed(call, IllegalStateException("the stream closed before its end"))
+        }
+    }
+
+    private fun whole(
+        call: OwnerCall,
+        end: EngineEvent.End,
+    ) {
+        call.end = end
+        finish(call)
+        flush(call)
+        ctx.loop.after(ctx.settings.peers.resumeMillis, "forget_stream") { calls.remove(call.request, call) }
+    }
+
+    private fun finish(call: OwnerCall) {
+        call.span?.end()
+        ctx.guard.ended(server, call.adapter, call.request)
+        ended(StreamEnding.Finished(call))
+    }
+
+    private fun failed(
+        call: OwnerCall,
+        error: Throwable,
+    ) {
+        if (calls[call.request] !== call || call.end != null) return
+        val refusal = (error as? EngineException)?.refusal ?: lost(error)
+        when {
+            refusal.certainty == Certainty.NOT_RUN && call.start != null && call.next == 0 -> notStarted(call, error)
+            refusal.code != RefusalCode.WRONG_ADAPTER && mayResume(call, error) -> resumeLater(call)
+            else -> lose(call, refusal)
+        }
+    }
+
+    private fun notStarted(
+        call: OwnerCall,
+        error: Throwable,
+    ) {
+        ctx.guard.ended(server, call.adapter, call.request)
+        ended(StreamEnding.NotStarted(call, error.engineReason()))
+    }
+
+    private fun mayResume(
+        call: OwnerCall,
+        error: Throwable,
+    ): Boolean = call.resumes < MAX_RESUMES && error.engineReason() != UNKNOWN_REQUEST
+
+    private fun resumeLater(call: OwnerCall) {
+        call.resumes++
+        Logger.info("event=stream_resumed step=stream peer={} request={} from={}", server, call.request, call.next)
+        ctx.loop.after(RESUME_DELAY_MILLIS * call.resumes, "resume_stream") {
+            if (calls[call.request] === call) subscribe(call, client.resume(call.request, call.next))
+        }
+    }
+
+    private fun lose(
+        call: OwnerCall,
+        refusal: Refusal,
+    ) {
+        calls.remove(call.request)
+        finish(call)
+        val uncertain = refusal.copy(certainty = Certainty.UNKNOWN)
+        ctx.links.send(call.entry, Message.GenerateRefused(call.request, uncertain))
+        Logger.warn("event=stream_lost step=stream peer={} request={} detail=\"{}\"", server, call.request, refusal.detail)
+    }
+
+    private fun lost(error: Throwable) =
+        Refusal(
+            code = RefusalCode.BACKEND_SERVER_FAILED,
+            step = Step.STREAM,
+            peer = server.value,
+            certainty = Certainty.UNKNOWN,
+            detail = error.message.orEmpty(),
+        )
+
+    private fun logLost(
+        call: OwnerCall,
+        error: Throwable,
+    ): Unit = Logger.info("event=cancel_lost step=stream peer={} request={} reason=\"{}\"", server, call.request, error.message)
+
+    /** Sends what the link takes; the rest goes when it is up again and the entry VM asks. */
+    private fun flush(call: OwnerCall) {
+        val unsent = call.unsent()
+        if (unsent.isNotEmpty()) {
+            val chunk = Message.GenerateChunk(call.request, call.sentUpTo, unsent.map { it.text })
+            if (ctx.links.send(call.entry, chunk) != SendResult.QUEUED) return
+            call.sentUpTo += unsent.size
+        }
+        val end = call.end ?: return
+        if (!call.endSent) call.endSent = ctx.links.send(call.entry, message(call, end)) == SendResult.QUEUED
+    }
+
+    private fun message(
+        call: OwnerCall,
+        end: EngineEvent.End,
+    ) = Message.GenerateEnd(
+        request = call.request,
+        total = end.total,
+        adapter = end.adapter,
+        server = server,
+        finish = end.finish,
+        stallMillis = call.stallNanos / NANOS_PER_MILLI,
+    )
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val MAX_RESUMES = 4
+        const val RESUME_DELAY_MILLIS = 50L
+        const val UNKNOWN_REQUEST = "unknown_request"
+    }
+}
--- a/apricotslip-node/src/main/kotlin/io/apricotslip/node/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.apricotslip.node
-
-internal const val MODULE = "apricotslip-node"
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/Message.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/Message.kt
@@ -138,10 +138,10 @@
     @SerialName("tl")
     public data class TokenLoan(public val tokens: Double) : Message()
 
-    /** The sender needs [wanted] loads of the weight store. */
+    /** The sender needs [wanted] loads of the weight store; [urgency] is the rank of its most urgent one, 0 first. */
     @Serializable
     @SerialName("ta")
-    public data class TokenAsk(public val wanted: Double) : Message()
+    public data class TokenAsk(public val wanted: Double, public val urgency: Int) : Message()
 
     /** The sender is stopping and takes no new work. */
     @Serializable
