--- a/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/SafetyMessage.kt
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/SafetyMessage.kt
@@ -3,6 +3,7 @@
 import io.apricotslip.api.fleet.VmList
 import io.apricotslip.api.id.AdapterVersion
 import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.Incarnation
 import io.apricotslip.api.id.ListRevision
 import io.apricotslip.api.id.ManifestRevision
 import kotlinx.serialization.SerialName
@@ -39,10 +40,17 @@
     @SerialName("mo")
     public data class ManifestOffer(public val revision: ManifestRevision, public val text: String) : SafetyMessage()
 
-    /** The sender starts nothing on [server] while [listRevision] is its tenured list: a standing consent. */
+    /**
+     * The sender starts nothing on [server] while [listRevision] is its tenured list: a standing consent.
+     * [incarnation] is the process life of the sender.
+     */
     @Serializable
     @SerialName("pa")
-    public data class Pass(public val server: BackendServerId, public val listRevision: ListRevision) : SafetyMessage()
+    public data class Pass(
+        public val server: BackendServerId,
+        public val listRevision: ListRevision,
+        public val incarnation: Incarnation = Incarnation(0),
+    ) : SafetyMessage()
 
     /** Asks for consent to evict [adapter] from [server]. [order] grows with every evict of the sender. */
     @Serializable
@@ -54,7 +62,10 @@
         public val listRevision: ListRevision,
     ) : SafetyMessage()
 
-    /** Answers [EvictAsk]. With [consent] the sender starts nothing on the adapter there until [EvictDone]. */
+    /**
+     * Answers [EvictAsk]. With [consent] the sender starts nothing on the adapter there until [EvictDone].
+     * [incarnation] is the process life of the sender.
+     */
     @Serializable
     @SerialName("er")
     public data class EvictAnswer(
@@ -63,6 +74,7 @@
         public val order: Long,
         public val listRevision: ListRevision,
         public val consent: Boolean,
+        public val incarnation: Incarnation = Incarnation(0),
     ) : SafetyMessage()
 
     /** The evict numbered [order] was acknowledged by the engine or given up before it was sent. */
--- a/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.apricotslip.safety
-
-internal const val MODULE = "apricotslip-safety"
