Read settings and manifests with all faults at once, each with its place

Cause: the manifest reader stopped at the first fault of structure, and settings had no reader.

A rule that reads a faulty value is left out. Manifest and settings share it. Manifests above 1 MiB and two backend servers on one address and port are refused.

Ruled out: decoding with kotlinx alone (stops at the first fault, takes the last of two equal keys, keeps no places); an own scanner for places (jackson-core's streaming parser gives line and column).

--- /dev/null
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/json/JsonDocument.kt
@@ -0,0 +1,58 @@
+package io.apricotslip.api.json
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/**
+ * Reads a [T] from JSON with comments and trailing commas, reporting all faults at once: syntax, unknown, repeated
+ * and missing keys, values of a wrong type, and violated rules.
+ *
+ * Compliant: `JsonDocument(Manifest.serializer(), ManifestRules::faults).read(text)`. Non-compliant: decoding first
+ * and checking rules after, which hides each later fault behind the first.
+ *
+ * @param rules the violated rules on a value whose structure is sound.
+ */
+public class JsonDocument<T>(private val serializer: KSerializer<T>, private val rules: (T) -> List<RuleFault>) {
+    /** The value in [text], or every fault of it in the order of the text. */
+    public fun read(text: String): Result<T, List<JsonFault>> {
+        val json = LocatedJsonParser.parse(text).getOrElse { return Err(listOf(it)) }
+        val walker = StructureWalker()
+        val repaired = walker.walk(json, serializer.descriptor)
+        val value =
+            try {
+                Json.decodeFromJsonElement(serializer, repaired)
+            } catch (e: SerializationException) {
+                return Err(walker.faults.ifEmpty { listOf(undecodable(e)) })
+            }
+        val broken = rules(value).filter { rule -> walker.faults.none { it.concerns(rule) } }
+        val faults = (walker.faults + broken.map { JsonFault(it.path, it.reason, walker.placeOf(it.path)) })
+        return if (faults.isEmpty()) Ok(value) else Err(faults.sortedWith(byPlace))
+    }
+
+    private fun undecodable(e: SerializationException) =
+        JsonFault(StructureWalker.ROOT, e.message.orEmpty().lineSequence().first())
+
+    private fun JsonFault.concerns(rule: RuleFault): Boolean =
+        (rule.reads + rule.path).any { it.isWithin(path) || path.isWithin(it) }
+
+    private fun String.isWithin(path: String): Boolean =
+        path == StructureWalker.ROOT || this == path || startsWith("$path.") || startsWith("$path[")
+
+    private fun StructureWalker.placeOf(path: String): JsonPlace? {
+        var at = path
+        while (at.isNotEmpty()) {
+            places[at]?.let { return it }
+            at = at.substring(0, maxOf(at.lastIndexOf('.'), at.lastIndexOf('['), 0))
+        }
+        return places[at]
+    }
+
+    private companion object {
+        val byPlace: Comparator<JsonFault> = compareBy({ it.place?.line ?: 0 }, { it.place?.column ?: 0 })
+    }
+}
--- a/apricotslip-api/src/main/kotlin/io/apricotslip/api/manifest/ManifestRules.kt
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/manifest/ManifestRules.kt
@@ -1,5 +1,8 @@
 package io.apricotslip.api.manifest
 
+import io.apricotslip.api.id.ModelId
+import io.apricotslip.api.json.RuleFault
+
 /**
  * Decides whether a manifest is valid. Depends on the manifest alone, never on what a VM held before, so that
  * all VMs judge alike even when they skip revisions.
@@ -8,9 +11,13 @@
     private const val MAX_PORT = 65_535
     private val name = Regex("[A-Za-z0-9][A-Za-z0-9._:/-]{0,199}")
 
-    /** Every fault of [manifest], in the order of the file; empty when it is valid. */
-    public fun faults(manifest: Manifest): List<ManifestFault> = buildList {
-        if (manifest.revision.value <= 0) add(ManifestFault("revision", "must be greater than 0"))
+    /** Every fault of [manifest], section by section; empty when it is valid. */
+    public fun faults(manifest: Manifest): List<ManifestFault> =
+        broken(manifest).map { ManifestFault(it.path, it.reason) }
+
+    /** Every violated rule of [manifest], section by section. */
+    public fun broken(manifest: Manifest): List<RuleFault> = buildList {
+        if (manifest.revision.value <= 0) add(RuleFault("revision", "must be greater than 0"))
         addAll(names("models", manifest.models.map { it.id.value }))
         addAll(names("adapters", manifest.adapters.map { it.id.value }))
         addAll(names("engines", manifest.engines.map { it.id.value }))
@@ -19,53 +26,84 @@
         manifest.adapters.forEachIndexed { i, a -> addAll(adapterFaults("adapters[$i]", a, models)) }
         manifest.engines.forEachIndexed { i, e -> addAll(engineFaults("engines[$i]", e, models)) }
         manifest.services.forEachIndexed { i, s -> addAll(serviceFaults("services[$i]", s)) }
+        addAll(sharedSockets(manifest))
         addAll(storeFaults(manifest.store))
     }
 
-    private fun names(section: String, ids: List<String>): List<ManifestFault> {
+    private fun undeclared(path: String, model: ModelId) =
+        RuleFault("$path.model", "model '$model' is not declared", listOf("models"))
+
+    private fun names(section: String, ids: List<String>): List<RuleFault> {
         val seen = mutableSetOf<String>()
         return ids.mapIndexedNotNull { i, id ->
             when {
-                !name.matches(id) -> ManifestFault("$section[$i].id", "'$id' is not a valid name")
-                !seen.add(id) -> ManifestFault("$section[$i].id", "'$id' is declared twice")
+                !name.matches(id) -> RuleFault("$section[$i].id", "'$id' is not a valid name")
+                !seen.add(id) -> RuleFault("$section[$i].id", "'$id' is declared twice")
                 else -> null
             }
         }
     }
 
-    private fun adapterFaults(path: String, a: AdapterEntry, models: Set<Any>): List<ManifestFault> = buildList {
-        if (a.model !in models) add(ManifestFault("$path.model", "model '${a.model}' is not declared"))
-        if (a.versions.isEmpty()) add(ManifestFault("$path.versions", "at least one version is needed"))
+    private fun adapterFaults(path: String, a: AdapterEntry, models: Set<Any>): List<RuleFault> = buildList {
+        if (a.model !in models) add(undeclared(path, a.model))
+        if (a.versions.isEmpty()) add(RuleFault("$path.versions", "at least one version is needed"))
         addAll(names("$path.versions", a.versions.map { it.value }))
         val default = a.default
         if (default != null && default !in a.versions) {
-            add(ManifestFault("$path.default", "version '$default' is not among the versions"))
+            add(RuleFault("$path.default", "version '$default' is not among the versions", listOf("$path.versions")))
         }
     }
 
-    private fun engineFaults(path: String, e: EngineEntry, models: Set<Any>): List<ManifestFault> = buildList {
-        if (e.model !in models) add(ManifestFault("$path.model", "model '${e.model}' is not declared"))
+    private fun engineFaults(path: String, e: EngineEntry, models: Set<Any>): List<RuleFault> = buildList {
+        if (e.model !in models) add(undeclared(path, e.model))
         addAll(addressFaults(path, e.address, e.port))
-        if (e.slots < 1) add(ManifestFault("$path.slots", "must be at least 1"))
-        if (e.batch < 1) add(ManifestFault("$path.batch", "must be at least 1"))
+        if (e.slots < 1) add(RuleFault("$path.slots", "must be at least 1"))
+        if (e.batch < 1) add(RuleFault("$path.batch", "must be at least 1"))
     }
 
-    private fun serviceFaults(path: String, s: ServiceEntry): List<ManifestFault> = buildList {
-        if (s.replicas.isEmpty()) add(ManifestFault("$path.replicas", "at least one replica is needed"))
+    private fun serviceFaults(path: String, s: ServiceEntry): List<RuleFault> = buildList {
+        if (s.replicas.isEmpty()) add(RuleFault("$path.replicas", "at least one replica is needed"))
         addAll(names("$path.replicas", s.replicas.map { it.id.value }))
         s.replicas.forEachIndexed { i, r -> addAll(addressFaults("$path.replicas[$i]", r.address, r.port)) }
     }
 
-    private fun addressFaults(path: String, address: String, port: Int): List<ManifestFault> = buildList {
-        if (!IpNumber.isValid(address)) add(ManifestFault("$path.address", "'$address' is not an IP number"))
-        if (port !in 1..MAX_PORT) add(ManifestFault("$path.port", "must be between 1 and $MAX_PORT"))
+    private fun addressFaults(path: String, address: String, port: Int): List<RuleFault> = buildList {
+        if (!IpNumber.isValid(address)) add(RuleFault("$path.address", "'$address' is not an IP number"))
+        if (port !in 1..MAX_PORT) add(RuleFault("$path.port", "must be between 1 and $MAX_PORT"))
     }
 
-    private fun storeFaults(s: StoreEntry): List<ManifestFault> = buildList {
-        if (!(s.loadsPerSecond > 0)) add(ManifestFault("store.loadsPerSecond", "must be greater than 0"))
-        if (s.fullSpeedInFlight < 1) add(ManifestFault("store.fullSpeedInFlight", "must be at least 1"))
+    private fun sharedSockets(manifest: Manifest): List<RuleFault> {
+        val engines = manifest.engines.mapIndexed { i, e -> Socket("engines[$i]", e.address, e.port) }
+        val replicas =
+            manifest.services.flatMapIndexed { i, s ->
+                s.replicas.mapIndexed { j, r -> Socket("services[$i].replicas[$j]", r.address, r.port) }
+            }
+        val first = mutableMapOf<String, Socket>()
+        return (engines + replicas).mapNotNull { socket ->
+            val other = first.putIfAbsent("${socket.address}:${socket.port}", socket)
+            if (other == null) null else socket.sharedWith(other)
+        }
+    }
+
+    private fun storeFaults(s: StoreEntry): List<RuleFault> = buildList {
+        if (!(s.loadsPerSecond > 0)) add(RuleFault("store.loadsPerSecond", "must be greater than 0"))
+        if (s.fullSpeedInFlight < 1) add(RuleFault("store.fullSpeedInFlight", "must be at least 1"))
         if (s.maxInFlight < s.fullSpeedInFlight) {
-            add(ManifestFault("store.maxInFlight", "must be at least store.fullSpeedInFlight"))
+            add(
+                RuleFault(
+                    "store.maxInFlight",
+                    "must be at least store.fullSpeedInFlight",
+                    listOf("store.fullSpeedInFlight"),
+                ),
+            )
         }
     }
+
+    private class Socket(val path: String, val address: String, val port: Int) {
+        fun sharedWith(other: Socket) = RuleFault(
+            "$path.port",
+            "$address:$port is the address of ${other.path} too",
+            listOf("$path.address", "${other.path}.address", "${other.path}.port"),
+        )
+    }
 }
--- a/apricotslip-api/src/main/kotlin/io/apricotslip/api/manifest/ManifestText.kt
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/manifest/ManifestText.kt
@@ -1,49 +1,25 @@
 package io.apricotslip.api.manifest
 
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
+import com.github.michaelbull.result.mapError
+import io.apricotslip.api.json.JsonDocument
 import kotlinx.serialization.json.Json
 
 /** Reads and writes manifests as JSON with comments. The nodes and `apricotslip manifest check` share this code. */
-@OptIn(ExperimentalSerializationApi::class)
 public object ManifestText {
-    private val json =
-        Json {
-            allowComments = true
-            allowTrailingComma = true
-            ignoreUnknownKeys = false
-        }
+    /** Largest manifest in bytes of UTF-8, which is the largest value that the configuration service holds. */
+    public const val MAX_BYTES: Int = 1_048_576
 
-    /** The manifest in [text] when it is valid, else all its faults. */
+    private val document = JsonDocument(Manifest.serializer(), ManifestRules::broken)
+
+    /** The manifest in [text] when it is valid, else all its faults in the order of the text. */
     public fun read(text: String): Result<Manifest, List<ManifestFault>> {
-        val manifest =
-            try {
-                json.decodeFromString<Manifest>(text)
-            } catch (e: SerializationException) {
-                return Err(listOf(syntaxFault(text, e)))
-            }
-        val faults = ManifestRules.faults(manifest)
-        return if (faults.isEmpty()) Ok(manifest) else Err(faults)
+        val bytes = text.encodeToByteArray().size
+        if (bytes > MAX_BYTES) return Err(listOf(ManifestFault("$", "has $bytes bytes; at most $MAX_BYTES are held")))
+        return document.read(text).mapError { faults -> faults.map { ManifestFault(it.path, it.reason, it.place) } }
     }
 
     /** Writes [manifest] so that [read] returns an equal one. */
-    public fun write(manifest: Manifest): String = json.encodeToString(Manifest.serializer(), manifest)
-
-    private fun syntaxFault(text: String, e: SerializationException): ManifestFault {
-        val message = e.message.orEmpty()
-        val offset = Regex("at offset (\\d+)").find(message)?.groupValues?.get(1)?.toIntOrNull()
-        val path = Regex("at path:? (\\$\\S*)").find(message)?.groupValues?.get(1)
-        val place = offset?.let { position(text, it) } ?: path ?: "$"
-        return ManifestFault(place, message.lineSequence().first())
-    }
-
-    private fun position(text: String, offset: Int): String {
-        val before = text.take(offset)
-        val line = before.count { it == '\n' } + 1
-        val column = offset - (before.lastIndexOf('\n') + 1) + 1
-        return "$line:$column"
-    }
+    public fun write(manifest: Manifest): String = Json.encodeToString(Manifest.serializer(), manifest)
 }
--- a/apricotslip-api/src/test/kotlin/io/apricotslip/api/manifest/ManifestTextTest.kt
+++ b/apricotslip-api/src/test/kotlin/io/apricotslip/api/manifest/ManifestTextTest.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 
@@ -75,4 +76,55 @@
             expectThat(faults.orEmpty().size).isEqualTo(1)
         }
     }
+
+    @Nested
+    inner class `given faults of structure and of rules` {
+        private val text =
+            valid
+                .replace("\"revision\": 7", "\"revison\": 7")
+                .replace("\"slots\": 4", "\"slots\": \"four\"")
+                .replace("\"port\": 9100", "\"port\": 70000")
+
+        @Test
+        fun `all are reported with path, line and column`() {
+            val faults = ManifestText.read(text).getError().orEmpty().map { "${it.place} ${it.path}" }
+            expectThat(faults).containsExactly(
+                "2:1 revision",
+                "3:3 revison",
+                "6:106 engines[0].slots",
+                "7:106 services[0].replicas[0].port",
+            )
+        }
+
+        @Test
+        fun `a rule that reads a faulty value is not reported`() {
+            val faults = ManifestText.read(valid.replace("\"models\"", "\"modells\"")).getError().orEmpty()
+            expectThat(faults.map { it.path }).containsExactly("models", "modells")
+        }
+    }
+
+    @Nested
+    inner class `given two backend servers on one address and port` {
+        @Test
+        fun `the second names the first`() {
+            val fault = ManifestText.read(valid.replace("9100", "9000")).getError().orEmpty().single()
+            expectThat(fault.path).isEqualTo("services[0].replicas[0].port")
+            expectThat(fault.reason).contains("engines[0]")
+        }
+    }
+
+    @Nested
+    inner class `given a text above the largest value` {
+        @Test
+        fun `it is refused without being parsed`() {
+            val fault = ManifestText.read(valid + " ".repeat(ManifestText.MAX_BYTES)).getError().orEmpty().single()
+            expectThat(fault.path).isEqualTo("$")
+        }
+
+        @Test
+        fun `the largest value itself is read`() {
+            val padded = valid + " ".repeat(ManifestText.MAX_BYTES - valid.length)
+            expectThat(ManifestText.read(padded).get()).isNotNull()
+        }
+    }
 }
--- /dev/null
+++ b/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/BuildVersion.kt
@@ -0,0 +1,18 @@
+package io.apricotslip.settings
+
+import java.util.Properties
+
+/** Version of this build, written by Maven into the resource `apricotslip/build.properties`. */
+public object BuildVersion {
+    private const val RESOURCE = "/apricotslip/build.properties"
+
+    /** Version of the Maven project, such as `0.1.0`. */
+    public val value: String by lazy(::read)
+
+    private fun read(): String {
+        val properties = Properties()
+        checkNotNull(BuildVersion::class.java.getResourceAsStream(RESOURCE)) { "$RESOURCE is not packaged" }
+            .use(properties::load)
+        return properties.getProperty("version")
+    }
+}
--- /dev/null
+++ b/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/OperatorSettings.kt
@@ -0,0 +1,11 @@
+package io.apricotslip.settings
+
+import kotlinx.serialization.Serializable
+
+/** Port for operators. [keys] are bearer tokens; without keys only loopback addresses are answered. */
+@Serializable
+public data class OperatorSettings(
+    public val port: Int,
+    public val address: String = "127.0.0.1",
+    public val keys: List<String> = emptyList(),
+)
--- /dev/null
+++ b/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/PolicySettings.kt
@@ -0,0 +1,14 @@
+package io.apricotslip.settings
+
+import kotlinx.serialization.Serializable
+
+/** Decisions under load. */
+@Serializable
+public data class PolicySettings(
+    public val goal: Goal = Goal.LOAD_STALLS,
+    public val candidates: Int = 3,
+    public val popularityHalfLifeMillis: Long = 60_000,
+    public val deferrableMaxWaitMillis: Long = 600_000,
+    public val loadBackoffMillis: Long = 500,
+    public val maxLoadBackoffMillis: Long = 15_000,
+)
--- /dev/null
+++ b/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/SettingsText.kt
@@ -0,0 +1,41 @@
+package io.apricotslip.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapError
+import io.apricotslip.api.json.JsonDocument
+import java.io.IOException
+import java.nio.charset.StandardCharsets
+import java.nio.file.Files
+import java.nio.file.Path
+
+/**
+ * Reads the settings of a node from JSON with comments.
+ *
+ * All faults are reported at once: unknown, repeated and missing keys, wrong types and units, values out of range,
+ * and values that clash.
+ */
+public object SettingsText {
+    private const val EXAMPLE = "/apricotslip/node.example.jsonc"
+    private val document = JsonDocument(NodeSettings.serializer(), SettingsRules::broken)
+
+    /** The settings in [text] when they are valid, else all their faults in the order of the text. */
+    public fun read(text: String): Result<NodeSettings, List<SettingsFault>> =
+        document.read(text).mapError { faults -> faults.map { SettingsFault(it.path, it.reason, it.place) } }
+
+    /** The settings in the file at [path]; a file that cannot be read is a fault of the path `$`. */
+    public fun readFile(path: Path): Result<NodeSettings, List<SettingsFault>> {
+        val text =
+            try {
+                Files.readString(path)
+            } catch (e: IOException) {
+                return Err(listOf(SettingsFault("$", "cannot read $path: ${e.javaClass.simpleName} ${e.message}")))
+            }
+        return read(text)
+    }
+
+    /** The annotated example, which lists every key with its default. */
+    public fun example(): String =
+        checkNotNull(SettingsText::class.java.getResourceAsStream(EXAMPLE)) { "$EXAMPLE is not packaged" }
+            .use { String(it.readAllBytes(), StandardCharsets.UTF_8) }
+}
--- /dev/null
+++ b/apricotslip-settings/src/test/kotlin/io/apricotslip/settings/SettingsTextTest.kt
@@ -0,0 +1,148 @@
+package io.apricotslip.settings
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.single
+import java.nio.file.Path
+
+class SettingsTextTest {
+    private val example = SettingsText.example()
+
+    private fun pathsOf(text: String): List<String> = SettingsText.read(text).getError().orEmpty().map { it.path }
+
+    private fun changed(from: String, to: String): String {
+        check(from in example) { "the example does not hold $from" }
+        return example.replaceFirst(from, to)
+    }
+
+    @Nested
+    inner class `given one wrong value` {
+        @ParameterizedTest
+        @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '\'',
+            value = [
+                """ "id": "vm-1"                 | "id": ""                          | vm.id """,
+                """ "zone": "zone-a",            | ''                                | vm.zone """,
+                """ "address": "127.0.0.1", // needed; the address that | "address": "vm-1.local", // | vm.address """,
+                """ "port": 8080                 | "port": -1                        | callers.port """,
+                """ "port": 8080                 | "port": 65536                     | callers.port """,
+                """ "port": 8081                 | "port": 8080                      | operators.port """,
+                """ "port": 8082                 | "port": 8081                      | peers.port """,
+                """ "port": 8500                 | "port": 0                         | platform.configuration.port """,
+                """ "maxHeaderBytes": 16384      | "maxHeaderBytes": 10              | callers.maxHeaderBytes """,
+                """ "maxBodyBytes": 1048576      | "maxBodyBytes": 4194304           | callers.maxBodyBytes """,
+                """ "maxBodyBytes": 1048576      | "maxBodyBytes": "1MB"             | callers.maxBodyBytes """,
+                """ "maxConcurrent": 4096        | "maxConcurrent": 0                | callers.maxConcurrent """,
+                """ "defaultDeadlineMillis": 30000 | "defaultDeadlineMillis": 600001 | callers.defaultDeadlineMillis """,
+                """ "keys": []                   | "keys": ["short"]                 | operators.keys[0] """,
+                """ "keys": []                   | "keys": ["0123456789abcdef", "0123456789abcdef"] | operators.keys[1] """,
+                """ "keys": []                   | "keys": [7]                       | operators.keys[0] """,
+                """ "silentMillis": 2000         | "silentMillis": 500               | peers.silentMillis """,
+                """ "leaseMillis": 3000          | "leaseMillis": 1000               | peers.leaseMillis """,
+                """ "leaseMillis": 3000          | "leaseMillis": "3s"               | peers.leaseMillis """,
+                """ "leaseMillis": 3000          | "leaseMillis": 3000.5             | peers.leaseMillis """,
+                """ "maxQueuedBytes": 16777216   | "maxQueuedBytes": 4194303         | peers.maxQueuedBytes """,
+                """ "maxRetryMillis": 10000      | "maxRetryMillis": 499             | platform.maxRetryMillis """,
+                """ "retryBudgetRatio": 0.1      | "retryBudgetRatio": 1.1           | limits.retryBudgetRatio """,
+                """ "goal": "load-stalls"        | "goal": "speed"                   | policy.goal """,
+                """ "candidates": 3              | "candidates": 0                   | policy.candidates """,
+                """ "maxLoadBackoffMillis": 15000 | "maxLoadBackoffMillis": 1        | policy.maxLoadBackoffMillis """,
+                """ "retentionMillis": 600000    | "retentionMillis": 10000          | reservations.retentionMillis """,
+                """ "graceMillis": 30000         | "graceMillis": 999                | stop.graceMillis """,
+                """ "otlpEndpoint": null         | "otlpEndpoint": "host:4318"       | traces.otlpEndpoint """,
+                """ "sampleRatio": 1.0           | "sampleRatio": -0.1               | traces.sampleRatio """,
+                """ "file": null                 | "file": " "                       | history.file """,
+                """ "level": "info"              | "level": "loud"                   | logs.level """,
+                """ "level": "info"              | "level": null                     | logs.level """,
+                """ "idleMillis"                 | "idleSeconds"                     | callers.idleSeconds """,
+                """ "candidates": 3,             | "candidates": 3, "candidates": 4, | policy.candidates """,
+            ],
+        )
+        fun `it is the one fault and has its path`(from: String, to: String, path: String) {
+            val faults = pathsOf(changed(from, to))
+            expectThat(faults).containsExactly(path)
+        }
+    }
+
+    @Nested
+    inner class `given several faults of different kinds` {
+        private val text =
+            example
+                .replaceFirst("\"id\": \"vm-1\",", "")
+                .replaceFirst("\"port\": 8080", "\"port\": 70000")
+                .replaceFirst("\"heartbeatMillis\": 500", "\"heartbeatSeconds\": 1, \"heartbeatMillis\": \"500ms\"")
+                .replaceFirst("\"sampleRatio\": 1.0", "\"sampleRatio\": 7.0")
+
+        @Test
+        fun `all are reported in the order of the text`() {
+            expectThat(pathsOf(text)).containsExactly(
+                "vm.id",
+                "callers.port",
+                "peers.heartbeatSeconds",
+                "peers.heartbeatMillis",
+                "traces.sampleRatio",
+            )
+        }
+
+        @Test
+        fun `a wrong unit is answered with the right one`() {
+            val reasons = SettingsText.read(text).getError().orEmpty().associate { it.path to it.reason }
+            expectThat(reasons["peers.heartbeatSeconds"])
+                .isEqualTo("the key is unknown; 'heartbeatMillis' (milliseconds) was probably meant")
+            expectThat(reasons["peers.heartbeatMillis"])
+                .isEqualTo("a whole number of milliseconds is needed, found \"500ms\"")
+        }
+    }
+
+    @Nested
+    inner class `given something that is no settings file` {
+        @ParameterizedTest
+        @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '\'',
+            value = ["'' | 1:1", "[] | $", "7 | $", "{ | 1:2", "{} {} | 1:4", "{\"vm\": vm-1} | 1:8"],
+        )
+        fun `the fault has its place`(text: String, path: String) {
+            expectThat(SettingsText.read(text).getError().orEmpty().first().path).isEqualTo(path)
+        }
+
+        @Test
+        fun `an empty object lacks every section without defaults`() {
+            expectThat(pathsOf("{}")).containsExactly("vm", "callers", "operators", "peers", "platform")
+        }
+
+        @Test
+        fun `a missing file is a fault`(@TempDir dir: Path) {
+            val faults = SettingsText.readFile(dir.resolve("none.jsonc")).getError().orEmpty()
+            expectThat(faults).single().get { reason }.contains("none.jsonc")
+        }
+    }
+
+    @Nested
+    inner class `given frames too small for a manifest and a body` {
+        @Test
+        fun `both relations are reported`() {
+            val text = changed("\"maxFrameBytes\": 4194304", "\"maxFrameBytes\": 65536")
+            expectThat(pathsOf(text)).containsExactly("callers.maxBodyBytes", "peers.maxFrameBytes")
+        }
+    }
+
+    @Nested
+    inner class `given ports of 0` {
+        @Test
+        fun `they do not clash`() {
+            val text = changed("\"port\": 8080", "\"port\": 0").replaceFirst("\"port\": 8081", "\"port\": 0")
+            expectThat(SettingsText.read(text).get()?.operators?.port).isEqualTo(0)
+        }
+    }
+}
