Adapt the node to the state machines of the core protocol

Cause: the guard hands out marks and envelopes where the node expected plain calls. Answers of services are kept as bytes with their replica, since a string loses what is not text.

--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/Node.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/Node.kt
@@ -16,7 +16,6 @@
 import reactor.core.publisher.Sinks
 import reactor.netty.DisposableServer
 import java.time.Duration
-import kotlin.random.Random
 
 /**
  * One node: the entry role towards callers and the owner role towards backend servers, as a library. The daemon
@@ -25,7 +24,7 @@
 public class Node(
     private val settings: NodeSettings,
 ) : AutoCloseable {
-    private val incarnation = Incarnation(Random.nextLong(1, Long.MAX_VALUE))
+    private val incarnation = Incarnation(System.currentTimeMillis())
     private val parts = NodeParts(settings, incarnation)
     private val fleet =
         FleetDispatcher(parts.loop, parts.links, parts.membership, parts.guard, parts.manifests, ::listChanged)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -74,7 +74,7 @@
             heartbeatNanos = settings.peers.heartbeatMillis * NANOS_PER_MILLI,
             started = loop.now(),
         )
-    val guard = EvictGuard(self, membership)
+    val guard = EvictGuard(self, membership, incarnation)
     val manifests = ManifestKeeper(loop, history)
     val readiness = Readiness(self, loop, membership, manifests)
     val shares = StoreShares(self, loop, links)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/FleetDispatcher.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/FleetDispatcher.kt
@@ -35,7 +35,10 @@
     }
 
     /** Regular work: heartbeats. */
-    fun tick(): Unit = links.send(membership.tick(loop.now()))
+    fun tick() {
+        membership.manifestRevision = manifests.revision
+        links.send(membership.tick(loop.now()))
+    }
 
     /** Handles a message of the core protocol from [from]. */
     fun receive(
@@ -68,10 +71,12 @@
 
     /** Pushes the manifest in force to all peers. */
     fun pushManifest() {
-        val offer = SafetyMessage.ManifestOffer(manifests.revision, manifests.text)
-        links.broadcast(Message.Safety(offer))
+        offer()?.let(links::broadcast)
     }
 
+    private fun offer(): Message? =
+        manifests.inForce?.let { Message.Safety(SafetyMessage.ManifestOffer(it.manifest.revision, it.text)) }
+
     private fun offerIfOlder(
         peer: VmId,
         revision: ManifestRevision,
@@ -81,7 +86,7 @@
         val last = offeredAt[peer]
         if (last != null && now - last < OFFER_PAUSE_NANOS) return
         offeredAt[peer] = now
-        links.send(peer, Message.Safety(SafetyMessage.ManifestOffer(manifests.revision, manifests.text)))
+        offer()?.let { links.send(peer, it) }
     }
 
     private fun noteList(
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/manifest/ManifestKeeper.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/manifest/ManifestKeeper.kt
@@ -7,6 +7,8 @@
 import io.apricotslip.core.observe.HistoryRecorder
 import io.apricotslip.safety.ManifestDecision
 import io.apricotslip.safety.ManifestShelf
+import io.apricotslip.safety.RefusedOffer
+import io.apricotslip.safety.ShelvedManifest
 import org.tinylog.kotlin.Logger
 
 /** The manifest in force on this node, and the refused ones. Used on the loop. */
@@ -17,29 +19,17 @@
     private val shelf = ManifestShelf()
     private val listeners = mutableListOf<(Manifest) -> Unit>()
 
-    /** The manifest in force, or null before the first. */
-    var current: Manifest? = null
-        private set
-
-    /** Text of [current], as it was published. */
-    var text: String = ""
-        private set
-
-    /** Where [current] came from: `platform` or the name of a peer. */
-    var source: String? = null
-        private set
+    /** The manifest in force with its text and source, or null before the first. */
+    val inForce: ShelvedManifest? get() = shelf.inForce
 
-    /** When [current] came into force, in nanoseconds of the loop's clock. */
-    var inForceAt: Long = 0
-        private set
-
-    /** The refused manifests, newest last. */
-    val refused: List<RefusedOffer> get() = refusals.toList()
-
-    private val refusals = ArrayDeque<RefusedOffer>()
+    /** The manifest in force, or null before the first. */
+    val current: Manifest? get() = shelf.inForce?.manifest
 
     /** Revision in force; 0 before the first. */
-    val revision: ManifestRevision get() = current?.revision ?: ManifestRevision(0)
+    val revision: ManifestRevision get() = shelf.revision
+
+    /** The refused manifests, newest first. */
+    val refused: List<RefusedOffer> get() = shelf.refused
 
     /** Calls [listener] on the loop whenever a manifest comes into force. */
     fun onChange(listener: (Manifest) -> Unit) {
@@ -53,46 +43,31 @@
         source: String,
     ) {
         when (val decision = shelf.offer(text, publishedRevision, source, loop.now())) {
-            is ManifestDecision.InForce -> accept(decision.manifest, text, source)
+            is ManifestDecision.InForce -> accepted(decision.manifest, source)
             is ManifestDecision.Older -> Unit
-            is ManifestDecision.Refused -> refuse(decision, publishedRevision, source)
+            is ManifestDecision.Refused -> logRefused(decision, publishedRevision, source)
         }
     }
 
-    private fun accept(
+    private fun accepted(
         manifest: Manifest,
-        text: String,
         source: String,
     ) {
-        current = manifest
-        this.text = text
-        this.source = source
-        inForceAt = loop.now()
         history.record(EventKind.IN_FORCE) { copy(revision = manifest.revision.value) }
         Logger.info("event=manifest_in_force revision={} source={}", manifest.revision, source)
         listeners.forEach { it(manifest) }
     }
 
-    private fun refuse(
+    private fun logRefused(
         decision: ManifestDecision.Refused,
         publishedRevision: Long,
         source: String,
-    ) {
-        val last = refusals.lastOrNull()
-        if (last?.publishedRevision == publishedRevision && last.faults == decision.faults) return
-        refusals.addLast(RefusedOffer(publishedRevision, source, loop.now(), decision.faults))
-        if (refusals.size > MAX_REFUSED) refusals.removeFirst()
-        val first = decision.faults.firstOrNull()
+    ): Unit =
         Logger.warn(
             "event=manifest_refused published={} source={} faults={} first=\"{}\"",
             publishedRevision,
             source,
             decision.faults.size,
-            first,
+            decision.faults.firstOrNull(),
         )
-    }
-
-    private companion object {
-        const val MAX_REFUSED = 20
-    }
 }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/operators/NodeView.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/operators/NodeView.kt
@@ -27,7 +27,7 @@
 
     override fun refused(): Mono<List<RefusedManifest>> =
         onLoop {
-            parts.manifests.refused.reversed().map { offer ->
+            parts.manifests.refused.map { offer ->
                 RefusedManifest(
                     publishedRevision = offer.publishedRevision,
                     source = offer.source,
@@ -88,12 +88,13 @@
         )
 
     private fun makeManifest(): ManifestInForce {
-        val m = parts.manifests.current
+        val shelved = parts.manifests.inForce
+        val m = shelved?.manifest
         return ManifestInForce(
             vm = parts.settings.vm.id,
             revision = m?.revision,
-            source = parts.manifests.source,
-            inForceMillis = if (m == null) 0 else (parts.loop.now() - parts.manifests.inForceAt) / NANOS_PER_MILLI,
+            source = shelved?.source,
+            inForceMillis = if (shelved == null) 0 else (parts.loop.now() - shelved.since) / NANOS_PER_MILLI,
             models = m?.models?.size ?: 0,
             adapters = m?.adapters?.size ?: 0,
             engines = m?.engines?.size ?: 0,
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
@@ -2,6 +2,7 @@
 
 import io.apricotslip.api.history.EventKind
 import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.FenceNumber
 import io.apricotslip.api.manifest.FenceCheck
 import io.apricotslip.api.manifest.WhenFull
 import io.apricotslip.backends.engine.EngineClient
@@ -10,6 +11,7 @@
 import io.apricotslip.safety.EvictTicket
 import io.apricotslip.safety.EvictVerdict
 import io.apricotslip.safety.FenceAdvice
+import io.apricotslip.safety.OrderMark
 import org.tinylog.kotlin.Logger
 
 /** Gives load and evict orders to one engine, each only after the guard agreed in the same turn. Used on the loop. */
@@ -37,26 +39,26 @@
     /** Loads [adapter]; where a full engine makes room by itself, only with consent. */
     fun load(adapter: AdapterVersion) {
         if (client.engine.whenFull == WhenFull.REFUSES) return sendLoad(adapter, retries = MAX_FENCE_RETRIES) {}
-        val ticket = ctx.guard.loadTicket(server, adapter, ctx.loop.now())
-        ctx.links.send(ticket.asks)
-        pendingLoads += PendingEvict(ticket, adapter, ctx.loop.now())
+        val asked = ctx.guard.loadTicket(server, adapter, ctx.loop.now())
+        ctx.links.send(asked.envelopes)
+        pendingLoads += PendingEvict(asked.ticket, adapter, ctx.loop.now())
         settle()
     }
 
     /** Asks for consent to evict [adapter] and evicts it once all agreed. */
     fun evict(adapter: AdapterVersion) {
-        val ticket = ctx.guard.ask(server, adapter, ctx.loop.now())
-        ctx.links.send(ticket.asks)
-        pending += PendingEvict(ticket, adapter, ctx.loop.now())
+        val asked = ctx.guard.ask(server, adapter, ctx.loop.now())
+        ctx.links.send(asked.envelopes)
+        pending += PendingEvict(asked.ticket, adapter, ctx.loop.now())
         settle()
     }
 
     /** An order without effect, whose answer puts later reports after this moment. */
     fun touch(resident: AdapterVersion) {
-        val fence = ctx.fences.next(server, ctx.membership.list.revision)
-        client.load(resident, fence).publishOn(ctx.loop.scheduler).subscribe { result ->
+        val mark = ctx.guard.orderGiven(server)
+        client.load(resident, nextFence()).publishOn(ctx.loop.scheduler).subscribe { result ->
             ctx.metrics.ordered("touch", label(result))
-            if (result is OrderResult.Done) ctx.guard.orderAcknowledged(server, result.sequence)
+            if (result is OrderResult.Done) ctx.links.send(ctx.guard.orderAcknowledged(mark, result.sequence))
             if (result is OrderResult.StaleFence) advise(result)
             changed()
         }
@@ -125,11 +127,11 @@
         retries: Int,
     ) {
         ctx.guard.sent(evict.ticket)
-        val fence = ctx.fences.next(server, ctx.membership.list.revision)
-        client.evict(evict.adapter, fence).publishOn(ctx.loop.scheduler).subscribe { result ->
+        val mark = ctx.guard.orderGiven(server)
+        client.evict(evict.adapter, nextFence()).publishOn(ctx.loop.scheduler).subscribe { result ->
             ctx.metrics.ordered("evict", label(result))
             when (result) {
-                is OrderResult.Done -> evicted(evict, result.sequence)
+                is OrderResult.Done -> evicted(evict, mark, result.sequence)
                 is OrderResult.StaleFence -> retryEvict(evict, result, retries)
                 is OrderResult.Rejected -> rejected(evict, result)
                 is OrderResult.Unanswered -> unanswered(evict)
@@ -140,9 +142,10 @@
 
     private fun evicted(
         evict: PendingEvict,
+        mark: OrderMark,
         sequence: Long,
     ) {
-        ctx.guard.orderAcknowledged(server, sequence)
+        ctx.links.send(ctx.guard.orderAcknowledged(mark, sequence))
         ctx.links.send(ctx.guard.done(evict.ticket))
         scheduler.evicted(evict.adapter, ctx.loop.now())
         ctx.history.record(EventKind.EVICT) { copy(server = client.engine.id.value, adapter = evict.adapter.toString()) }
@@ -171,7 +174,7 @@
     }
 
     private fun unanswered(evict: PendingEvict) {
-        ctx.links.send(ctx.guard.unanswered(evict.ticket, checked))
+        ctx.guard.unanswered(evict.ticket, checked)
         scheduler.evicted(evict.adapter, ctx.loop.now())
         Logger.warn("event=evict_unanswered step=load peer={} adapter={} fenced={}", server, evict.adapter, checked)
     }
@@ -182,12 +185,12 @@
         ended: () -> Unit,
     ) {
         loading++
-        val fence = ctx.fences.next(server, ctx.membership.list.revision)
-        client.load(adapter, fence).publishOn(ctx.loop.scheduler).subscribe { result ->
+        val mark = ctx.guard.orderGiven(server)
+        client.load(adapter, nextFence()).publishOn(ctx.loop.scheduler).subscribe { result ->
             loading--
             ctx.metrics.ordered("load", label(result))
             when (result) {
-                is OrderResult.Done -> loaded(adapter, result.sequence)
+                is OrderResult.Done -> loaded(adapter, mark, result.sequence)
 
                 is OrderResult.StaleFence -> {
                     val mayRetry = advise(result) == FenceAdvice.Retry && retries > 0
@@ -204,9 +207,10 @@
 
     private fun loaded(
         adapter: AdapterVersion,
+        mark: OrderMark,
         sequence: Long,
     ) {
-        ctx.guard.orderAcknowledged(server, sequence)
+        ctx.links.send(ctx.guard.orderAcknowledged(mark, sequence))
         scheduler.loaded(adapter, ctx.loop.now())
         ctx.history.record(EventKind.LOAD) { copy(server = client.engine.id.value, adapter = adapter.toString()) }
     }
@@ -219,6 +223,8 @@
         Logger.warn("event=load_failed step=load peer={} adapter={} result={}", server, adapter, label(result))
     }
 
+    private fun nextFence(): FenceNumber = ctx.fences.next(server, ctx.membership.list.revision)
+
     private fun advise(result: OrderResult.StaleFence): FenceAdvice =
         ctx.fences.stale(server, result.highest, ctx.membership.list.revision)
 
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -1,6 +1,7 @@
 package io.apricotslip.core.owner
 
 import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.Incarnation
 import io.apricotslip.api.id.RequestId
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.manifest.EngineEntry
@@ -241,7 +242,7 @@
         val resident = report.adapters.filter { it.resident }.map { it.adapter }
         if (report.incarnation != incarnation) restarted(report, resident, now)
         reachable = true
-        ctx.guard.reported(engine.id, report.incarnation, report.sequence, report.running())
+        ctx.guard.reported(engine.id, Incarnation(report.incarnation), report.sequence, report.running())
         scheduler.foreignUse(ctx.guard.foreignUse(engine.id), now)
         if (!touched && role() != Role.None) touch(resident.firstOrNull())
         pump()
@@ -256,7 +257,7 @@
         incarnation = report.incarnation
         if (known) {
             Logger.warn("event=engine_restarted step=route peer={} incarnation={}", engine.id, report.incarnation)
-            ctx.guard.engineRestarted(engine.id)
+            ctx.links.send(ctx.guard.engineRestarted(engine.id))
         }
         scheduler.reset(resident, now)
     }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/service/HomeCalls.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/service/HomeCalls.kt
@@ -49,8 +49,8 @@
         val refusal =
             when (decision) {
                 is ReservationDecision.Run -> return run(from, message)
-                is ReservationDecision.Repeat -> return reply(from, message, decision.answer)
-                is ReservationDecision.InProgress -> unknown(RefusalCode.REPEATED_KEY, "the key is running or its answer was lost")
+                is ReservationDecision.Repeat -> return repeat(from, message, decision.answer)
+                is ReservationDecision.InProgress -> unknown(RefusalCode.REPEATED_KEY, "the key is running")
                 is ReservationDecision.NotHome -> notRun(RefusalCode.NOT_READY, "this VM is not the home of the key")
                 is ReservationDecision.NotTenured -> notRun(RefusalCode.NOT_READY, "this VM may not act as home now")
                 is ReservationDecision.BeforeTenure -> unknown(RefusalCode.KEY_BEFORE_TENURE, "another VM may have run the key")
@@ -91,26 +91,41 @@
                 when (outcome) {
                     is Outcome.Completed -> {
                         val value = outcome.value
-                        complete(from, message, StoredAnswer(value.status, value.contentType, value.body, replica.id))
+                        complete(from, message, StoredAnswer.Completed(value.status, value.contentType, value.body, replica.id))
                     }
 
                     is Outcome.NotRun -> attempt(from, message, replicas.drop(1))
 
                     is Outcome.Unknown -> {
-                        reservations.unknown(message.key, ctx.loop.now())
+                        reservations.unknown(message.key)
                         refuse(from, message, outcome.refusal)
                     }
                 }
             }
     }
 
-    private fun complete(
+    private fun repeat(
         from: VmId,
         message: Message.ReserveStart,
         answer: StoredAnswer,
+    ) {
+        when (answer) {
+            is StoredAnswer.Completed -> reply(from, message, answer)
+
+            is StoredAnswer.Unknown -> {
+                val refusal = unknown(RefusalCode.REPEATED_KEY, "the key may have run; its answer was lost")
+                ctx.links.send(from, Message.ReserveRefused(message.request, refusal))
+            }
+        }
+    }
+
+    private fun complete(
+        from: VmId,
+        message: Message.ReserveStart,
+        answer: StoredAnswer.Completed,
     ) {
         running--
-        reservations.completed(message.key, answer, ctx.loop.now())
+        reservations.completed(message.key, answer)
         reply(from, message, answer)
     }
 
@@ -126,7 +141,7 @@
     private fun reply(
         from: VmId,
         message: Message.ReserveStart,
-        answer: StoredAnswer,
+        answer: StoredAnswer.Completed,
     ) {
         val server: BackendServerId = answer.server
         ctx.links.send(from, Message.ReserveEnd(message.request, answer.status, answer.contentType, answer.body, server))
--- a/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/StoredAnswer.kt
+++ b/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/StoredAnswer.kt
@@ -1,12 +1,18 @@
 package io.apricotslip.safety
 
+import io.apricotslip.api.id.BackendServerId
+
 import io.apricotslip.api.id.VmId
 
 /** What a repeat of an idempotency key is answered with. */
 public sealed class StoredAnswer {
     /** The whole answer of the service. */
-    public data class Completed(public val status: Int, public val contentType: String, public val body: String) :
-        StoredAnswer()
+    public class Completed(
+        public val status: Int,
+        public val contentType: String?,
+        public val body: ByteArray,
+        public val server: BackendServerId,
+    ) : StoredAnswer()
 
     /** The call may have run; its answer was lost. */
     public data object Unknown : StoredAnswer()
