Add the stand-ins: engine, store, configuration, list of VMs, booking

Cause: the first end-to-end run needs the sides that are not ours, as docs/INTERFACES.md describes them.

Each stand-in keeps its state on one loop without locks; ports are by Reactor Netty.

Ruled out: a sealed settings type per feature package, which Kotlin allows only within one package; the settings stand in one package instead.

Tried by hand with curl on each stand-in: load, stale fence, stream, repeat (409), resume, detach, silence, freeze, restart, watch, down, lag, dropped answer. No automated tests yet.

--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.apricotslip.standins
-
-internal const val MODULE = "apricotslip-standins"
--- /dev/null
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standins.kt
@@ -0,0 +1,75 @@
+package io.apricotslip.standins
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+import io.apricotslip.api.time.Ticker
+import io.apricotslip.standins.booking.BookingStandin
+import io.apricotslip.standins.config.ConfigStandin
+import io.apricotslip.standins.engine.EngineStandin
+import io.apricotslip.standins.history.History
+import io.apricotslip.standins.loop.Loop
+import io.apricotslip.standins.settings.BookingListSettings
+import io.apricotslip.standins.settings.BookingSettings
+import io.apricotslip.standins.settings.ConfigSettings
+import io.apricotslip.standins.settings.EngineListSettings
+import io.apricotslip.standins.settings.EngineSettings
+import io.apricotslip.standins.settings.SettingsFault
+import io.apricotslip.standins.settings.SettingsText
+import io.apricotslip.standins.settings.StandinSettings
+import io.apricotslip.standins.settings.StoreSettings
+import io.apricotslip.standins.settings.VmsSettings
+import io.apricotslip.standins.store.StoreStandin
+import io.apricotslip.standins.vms.VmsStandin
+import reactor.core.scheduler.Scheduler
+import reactor.core.scheduler.Schedulers
+
+/** Starts stand-ins from their settings. */
+public object Standins {
+    private const val LOOP_THREADS = 4
+    private val scheduler: Scheduler by lazy { Schedulers.newParallel("standin", LOOP_THREADS, true) }
+
+    /**
+     * Starts the stand-ins of the settings in [text], or only the one named [id] of a list. With any fault nothing is
+     * started and all faults are given.
+     */
+    public fun start(
+        kind: StandinKind,
+        text: String,
+        id: String? = null,
+    ): Result<List<RunningStandin>, List<SettingsFault>> = read(kind, text)
+        .flatMap { all -> select(all, id) }
+        .map { all -> all.map(::startOne) }
+
+    private fun read(kind: StandinKind, text: String): Result<List<StandinSettings>, List<SettingsFault>> =
+        when (kind) {
+            StandinKind.ENGINE -> SettingsText.read(text, EngineSettings.serializer()).map(::listOf)
+            StandinKind.ENGINES -> SettingsText.read(text, EngineListSettings.serializer()).map { it.engines }
+            StandinKind.STORE -> SettingsText.read(text, StoreSettings.serializer()).map(::listOf)
+            StandinKind.CONFIG -> SettingsText.read(text, ConfigSettings.serializer()).map(::listOf)
+            StandinKind.VMS -> SettingsText.read(text, VmsSettings.serializer()).map(::listOf)
+            StandinKind.BOOKING -> SettingsText.read(text, BookingSettings.serializer()).map(::listOf)
+            StandinKind.BOOKINGS -> SettingsText.read(text, BookingListSettings.serializer()).map { it.replicas }
+        }
+
+    private fun select(all: List<StandinSettings>, id: String?): Result<List<StandinSettings>, List<SettingsFault>> {
+        val selected = all.filter { id == null || it.id == id }
+        return if (selected.isEmpty()) Err(listOf(SettingsFault("$", "no stand-in is named '$id'"))) else Ok(selected)
+    }
+
+    private fun startOne(settings: StandinSettings): RunningStandin {
+        val service = service(settings, Loop(scheduler, Ticker.System))
+        service.server.start(service.serviceRoutes(), service.adminRoutes())
+        return RunningStandin(settings.id, service)
+    }
+
+    private fun service(settings: StandinSettings, loop: Loop): StandinService = when (settings) {
+        is EngineSettings -> EngineStandin(settings, loop, History.of(settings.historyFile))
+        is StoreSettings -> StoreStandin(settings, loop, History.of(settings.historyFile))
+        is ConfigSettings -> ConfigStandin(settings, loop)
+        is VmsSettings -> VmsStandin(settings, loop)
+        is BookingSettings -> BookingStandin(settings, loop, History.of(settings.historyFile))
+    }
+}
--- /dev/null
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/WeightSource.kt
@@ -0,0 +1,74 @@
+package io.apricotslip.standins.engine
+
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.standins.http.wireJson
+import io.apricotslip.standins.loop.Loop
+import io.apricotslip.standins.settings.LoadSettings
+import io.apricotslip.standins.store.LoadCall
+import io.apricotslip.standins.store.LoadResult
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import org.tinylog.kotlin.Logger
+import reactor.core.publisher.Mono
+import reactor.netty.ByteBufMono
+import reactor.netty.http.client.HttpClient
+import reactor.netty.resources.ConnectionProvider
+import java.time.Duration
+
+private const val HTTP_OK = 200
+
+/** Where an engine gets the weights of an adapter. */
+internal sealed class WeightSource {
+    /** Gets the weights of [adapter]. Never fails. */
+    abstract fun fetch(adapter: AdapterVersion): Mono<LoadResult>
+
+    /** Takes [time], whatever the adapter. */
+    class FixedTime(private val time: Duration, private val loop: Loop) : WeightSource() {
+        override fun fetch(adapter: AdapterVersion): Mono<LoadResult> = Mono.create { sink ->
+            loop.execute { loop.schedule(time) { sink.success(LoadResult.LOADED) } }
+        }
+    }
+
+    /** Asks the weight store for it. */
+    class Store(private val engine: String, private val settings: LoadSettings) : WeightSource() {
+        private val address = requireNotNull(settings.store)
+        private val client = HttpClient
+            .create(ConnectionProvider.create("store-$engine", MAX_CONNECTIONS))
+            .host(address.address)
+            .port(address.port)
+            .responseTimeout(Duration.ofMillis(settings.timeoutMillis))
+
+        override fun fetch(adapter: AdapterVersion): Mono<LoadResult> {
+            val call = LoadCall(engine, adapter.adapter.value, adapter.version.value)
+            val body = wireJson.encodeToString(LoadCall.serializer(), call)
+            return client
+                .headers { it.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON) }
+                .post()
+                .uri("/v1/loads")
+                .send(ByteBufMono.fromString(Mono.just(body)))
+                .responseSingle { response, content ->
+                    content.asString().defaultIfEmpty("").map { response.status().code() }
+                }
+                .map { status -> if (status == HTTP_OK) LoadResult.LOADED else LoadResult.FAILED }
+                .doOnError { e -> logFailure(adapter, e) }
+                .onErrorReturn(LoadResult.FAILED)
+        }
+
+        private fun logFailure(adapter: AdapterVersion, e: Throwable) {
+            Logger.warn {
+                "event=load_failed standin=$engine step=store peer=${address.address}:${address.port} " +
+                    "adapter=$adapter reason=\"${e.message}\""
+            }
+        }
+
+        private companion object {
+            const val MAX_CONNECTIONS = 256
+        }
+    }
+
+    companion object {
+        /** The source that the settings of the engine [id] name. */
+        fun of(id: String, settings: LoadSettings, loop: Loop): WeightSource =
+            if (settings.store == null) FixedTime(Duration.ofMillis(settings.millis), loop) else Store(id, settings)
+    }
+}
--- /dev/null
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/Rules.kt
@@ -0,0 +1,53 @@
+package io.apricotslip.standins.settings
+
+import io.apricotslip.api.manifest.IpNumber
+
+private const val MAX_PORT = 65_535
+
+/** Collects the faults of one settings object whose keys start with [path]. */
+internal class Rules(private val path: String) {
+    private val faults = mutableListOf<SettingsFault>()
+
+    /** Everything found so far. */
+    fun found(): List<SettingsFault> = faults
+
+    /** Adds a fault at [key] unless [isMet]. */
+    fun require(key: String, isMet: Boolean, reason: String) {
+        if (!isMet) faults += SettingsFault(place(key), reason)
+    }
+
+    /** [value] must be at least [min]. */
+    fun atLeast(key: String, value: Number, min: Number) {
+        require(key, value.toDouble() >= min.toDouble(), "must be at least $min")
+    }
+
+    /** [value] must be greater than 0. */
+    fun positive(key: String, value: Number) {
+        require(key, value.toDouble() > 0, "must be greater than 0")
+    }
+
+    /** [value] must be a port; 0 lets the system choose one. */
+    fun port(key: String, value: Int) {
+        require(key, value in 0..MAX_PORT, "must be between 0 and $MAX_PORT")
+    }
+
+    /** [value] must be an IP number. */
+    fun address(key: String, value: String) {
+        require(key, IpNumber.isValid(value), "'$value' is not an IP number")
+    }
+
+    /** [value] must not be blank. */
+    fun name(key: String, value: String) {
+        require(key, value.isNotBlank(), "must not be empty")
+    }
+
+    /** Adds the faults of the settings under [key]. */
+    fun nested(key: String, settings: Checked?) {
+        if (settings != null) faults += settings.faults(place(key))
+    }
+
+    private fun place(key: String): String = if (path.isEmpty()) key else "$path.$key"
+}
+
+/** Applies [block] to the settings at [path] and gives the faults found. */
+internal fun rules(path: String, block: Rules.() -> Unit): List<SettingsFault> = Rules(path).apply(block).found()
--- /dev/null
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/StoreSettings.kt
@@ -0,0 +1,34 @@
+package io.apricotslip.standins.settings
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Settings of the weight store.
+ *
+ * @property fullSpeedInFlight loads that start at once after a quiet time, before the rate holds.
+ * @property maxInFlight loads in flight, waiting ones included, up to which a load takes [loadMillis].
+ * @property failureRatio share of loads that fail, drawn with [seed].
+ */
+@Serializable
+internal data class StoreSettings(
+    override val id: String = "store",
+    override val address: String = "127.0.0.1",
+    override val port: Int,
+    override val admin: AdminSettings,
+    override val historyFile: String? = null,
+    val loadsPerSecond: Double,
+    val fullSpeedInFlight: Int,
+    val maxInFlight: Int,
+    val loadMillis: Long = 250,
+    val failureRatio: Double = 0.0,
+    val seed: Long = 1,
+) : StandinSettings {
+    override fun faults(path: String): List<SettingsFault> = commonFaults(path) + rules(path) {
+        positive("loadsPerSecond", loadsPerSecond)
+        atLeast("fullSpeedInFlight", fullSpeedInFlight, 1)
+        atLeast("maxInFlight", maxInFlight, 1)
+        require("maxInFlight", maxInFlight >= fullSpeedInFlight, "must be at least fullSpeedInFlight")
+        atLeast("loadMillis", loadMillis, 0)
+        require("failureRatio", failureRatio in 0.0..1.0, "must be between 0 and 1")
+    }
+}
