--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -40,10 +40,7 @@
 import kotlin.random.Random
 
 /** The parts of a node, each made from the settings. */
-internal class NodeParts(
-    val settings: NodeSettings,
-    incarnation: Incarnation,
-) : AutoCloseable {
+internal class NodeParts(val settings: NodeSettings, incarnation: Incarnation) : AutoCloseable {
     private val self = settings.vm.id
     private val random = Random(incarnation.value)
 
@@ -63,8 +60,8 @@
     val links = Links(self, network, loop)
     val platform: PlatformClient =
         HttpPlatformClient(
-            configuration = settings.platform.configuration.toInet(),
-            vms = settings.platform.vms.toInet(),
+            configuration = settings.platform.configuration.toEndpoint(),
+            vms = settings.platform.vms.toEndpoint(),
             options = SettingsMapping.platform(settings.platform),
         )
     val membership =
@@ -99,13 +96,13 @@
         EngineOwners(
             ctx = ownerContext,
             factory =
-                EngineOwnerFactory(
-                    ctx = ownerContext,
-                    options = SettingsMapping.scheduler(settings.policy, settings.limits),
-                    clients = EngineClientOptions(),
-                    random = random,
-                    budget = shares,
-                ),
+            EngineOwnerFactory(
+                ctx = ownerContext,
+                options = SettingsMapping.scheduler(settings.policy, settings.limits),
+                clients = EngineClientOptions(),
+                random = random,
+                budget = shares,
+            ),
         )
     private val entryContext =
         EntryContext(
@@ -131,12 +128,12 @@
         HomeCalls(
             ctx = entryContext,
             reservations =
-                Reservations(
-                    self = self,
-                    membership = membership,
-                    skewMillis = settings.reservations.clockSkewMillis,
-                    retentionMillis = settings.reservations.retentionMillis,
-                ),
+            Reservations(
+                self = self,
+                membership = membership,
+                skewMillis = settings.reservations.clockSkewMillis,
+                retentionMillis = settings.reservations.retentionMillis,
+            ),
             client = serviceClient,
             wallMillis = System::currentTimeMillis,
         )
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/Readiness.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/Readiness.kt
@@ -6,8 +6,8 @@
 import io.apricotslip.safety.Membership
 
 /**
- * Decides whether this node takes callers' requests. A fresh node first learns from a majority of the listed VMs what is
- * in force there, so that a stale platform does not turn it back. Used on the loop.
+ * Decides whether this node takes callers' requests. A fresh node first learns from a majority of the listed VMs what
+ * is in force there, so that a stale platform does not turn it back. Used on the loop.
  */
 internal class Readiness(
     private val self: VmId,
@@ -21,14 +21,13 @@
     var stopping: Boolean = false
 
     /** Why the node is not ready, a reason each; empty when it is. */
-    fun reasons(): List<String> =
-        buildList {
-            if (stopping) add("stopping")
-            if (manifests.current == null) add("no valid manifest yet")
-            if (membership.list.vms.none { it.id == self }) add("not on the list of VMs")
-            if (!hasStarted()) add("a majority of the listed VMs has not told its manifest yet")
-            if (!membership.leaseHeld(loop.now())) add("no majority of the listed VMs answers")
-        }
+    fun reasons(): List<String> = buildList {
+        if (stopping) add("stopping")
+        if (manifests.current == null) add("no valid manifest yet")
+        if (membership.list.vms.none { it.id == self }) add("not on the list of VMs")
+        if (!hasStarted()) add("a majority of the listed VMs has not told its manifest yet")
+        if (!membership.leaseHeld(loop.now())) add("no majority of the listed VMs answers")
+    }
 
     private fun hasStarted(): Boolean {
         if (!started) started = heardMajority()
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerRequests.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerRequests.kt
@@ -15,16 +15,10 @@
 import kotlinx.serialization.json.Json
 
 /** A completion that a caller asked for. */
-internal data class ParsedCall(
-    val spec: CallSpec,
-    val stream: Boolean,
-    val format: AnswerFormat,
-)
+internal data class ParsedCall(val spec: CallSpec, val stream: Boolean, val format: AnswerFormat)
 
 /** Reads callers' requests. An error is one sentence for the caller. */
-internal class CallerRequests(
-    private val settings: CallerSettings,
-) {
+internal class CallerRequests(private val settings: CallerSettings) {
     /** Reads a completion of the shape [format]. */
     fun completion(
         format: AnswerFormat,
@@ -33,7 +27,9 @@
         body: String,
     ): Result<ParsedCall, String> {
         val workClass = workClass(headers) ?: return Err("header ${CallerHeaders.CLASS}: unknown class")
-        val deadline = deadline(headers) ?: return Err("header ${CallerHeaders.DEADLINE}: must be 1..${settings.maxDeadlineMillis}")
+        val deadline =
+            deadline(headers)
+                ?: return Err("header ${CallerHeaders.DEADLINE}: must be 1..${settings.maxDeadlineMillis}")
         val text = read(format, body) ?: return Err("body: not a completion request in JSON")
         if (text.model.isEmpty()) return Err("model: must not be empty")
         if (text.maxTokens !in 1..MAX_TOKENS) return Err("max_tokens: must be 1..$MAX_TOKENS")
@@ -63,7 +59,9 @@
         val key = headers[CallerHeaders.KEY]
         val repeatable = method in REPEATABLE
         if (!repeatable && key == null) return Err("header ${CallerHeaders.KEY}: needed for $method, a UUID version 7")
-        val deadline = deadline(headers) ?: return Err("header ${CallerHeaders.DEADLINE}: must be 1..${settings.maxDeadlineMillis}")
+        val deadline =
+            deadline(headers)
+                ?: return Err("header ${CallerHeaders.DEADLINE}: must be 1..${settings.maxDeadlineMillis}")
         return Ok(
             ServiceRequest(
                 request = request,
@@ -79,26 +77,21 @@
         )
     }
 
-    private fun read(
-        format: AnswerFormat,
-        body: String,
-    ): CompletionRequest? =
-        try {
-            when (format) {
-                is AnswerFormat.Text -> json.decodeFromString<CompletionRequest>(body)
-                is AnswerFormat.Chat -> json.decodeFromString<ChatRequest>(body).toCompletion()
-            }
-        } catch (e: SerializationException) {
-            null
+    private fun read(format: AnswerFormat, body: String): CompletionRequest? = try {
+        when (format) {
+            is AnswerFormat.Text -> json.decodeFromString<CompletionRequest>(body)
+            is AnswerFormat.Chat -> json.decodeFromString<ChatRequest>(body).toCompletion()
         }
+    } catch (e: SerializationException) {
+        null
+    }
 
-    private fun ChatRequest.toCompletion() =
-        CompletionRequest(
-            model = model,
-            prompt = messages.joinToString("\n") { "${it.role}: ${it.content}" },
-            stream = stream,
-            maxTokens = maxTokens,
-        )
+    private fun ChatRequest.toCompletion() = CompletionRequest(
+        model = model,
+        prompt = messages.joinToString("\n") { "${it.role}: ${it.content}" },
+        stream = stream,
+        maxTokens = maxTokens,
+    )
 
     private fun workClass(headers: HttpHeaders): WorkClass? {
         val label = headers[CallerHeaders.CLASS] ?: return WorkClass.INTERACTIVE
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/observe/NodeMetrics.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/observe/NodeMetrics.kt
@@ -38,17 +38,15 @@
     private val tokens: Counter = counter("apricotslip_tokens", "Tokens passed on to callers.")
     private val orders: Counter = counter("apricotslip_orders", "Orders to engines.", "order", "result")
     private val retries: Counter = counter("apricotslip_retries", "Requests placed again.", "reason")
-    private val reservations: Counter = counter("apricotslip_reservations", "Calls decided by their home VM.", "decision")
+    private val reservations: Counter =
+        counter("apricotslip_reservations", "Calls decided by their home VM.", "decision")
     private val running: Gauge = gauge("apricotslip_engine_running", "Requests running on an owned engine.", "server")
-    private val batch: Gauge = gauge("apricotslip_batch_efficiency", "Share of the batch of an owned engine in use.", "server")
+    private val batch: Gauge =
+        gauge("apricotslip_batch_efficiency", "Share of the batch of an owned engine in use.", "server")
     private val queued: Gauge = gauge("apricotslip_engine_queue", "Requests waiting at the owner.", "server")
 
     /** Registers a gauge that is read when metrics are asked for. */
-    fun watch(
-        name: String,
-        help: String,
-        read: () -> Double,
-    ) {
+    fun watch(name: String, help: String, read: () -> Double) {
         GaugeWithCallback
             .builder()
             .name(name)
@@ -57,44 +55,29 @@
             .register(registry)
     }
 
-    fun stalled(
-        workClass: WorkClass,
-        nanos: Long,
-    ): Unit = stalls.labelValues(workClass.label).observe(nanos / NANOS_PER_SECOND)
+    fun stalled(workClass: WorkClass, nanos: Long): Unit =
+        stalls.labelValues(workClass.label).observe(nanos / NANOS_PER_SECOND)
 
-    fun firstToken(
-        workClass: WorkClass,
-        nanos: Long,
-    ): Unit = firstToken.labelValues(workClass.label).observe(nanos / NANOS_PER_SECOND)
+    fun firstToken(workClass: WorkClass, nanos: Long): Unit =
+        firstToken.labelValues(workClass.label).observe(nanos / NANOS_PER_SECOND)
 
     fun refused(refusal: Refusal): Unit =
         refusals.labelValues(refusal.code.label, refusal.step.label, refusal.certainty.label).inc()
 
     fun admitted(workClass: WorkClass): Unit = admitted.labelValues(workClass.label).inc()
 
-    fun completed(
-        workClass: WorkClass,
-        total: Int,
-    ) {
+    fun completed(workClass: WorkClass, total: Int) {
         completed.labelValues(workClass.label).inc()
         tokens.inc(total.toLong())
     }
 
-    fun ordered(
-        order: String,
-        result: String,
-    ): Unit = orders.labelValues(order, result).inc()
+    fun ordered(order: String, result: String): Unit = orders.labelValues(order, result).inc()
 
     fun retried(reason: String): Unit = retries.labelValues(reason).inc()
 
     fun reservation(decision: String): Unit = reservations.labelValues(decision).inc()
 
-    fun engine(
-        server: String,
-        runningNow: Int,
-        batchSize: Int,
-        waiting: Int,
-    ) {
+    fun engine(server: String, runningNow: Int, batchSize: Int, waiting: Int) {
         running.labelValues(server).set(runningNow.toDouble())
         batch.labelValues(server).set(runningNow.toDouble() / batchSize)
         queued.labelValues(server).set(waiting.toDouble())
@@ -107,33 +90,23 @@
         return out.toString(Charsets.UTF_8)
     }
 
-    private fun counter(
-        name: String,
-        help: String,
-        vararg labels: String,
-    ): Counter =
-        Counter
-            .builder()
-            .name(name)
-            .help(help)
-            .labelNames(*labels)
-            .register(registry)
+    private fun counter(name: String, help: String, vararg labels: String): Counter = Counter
+        .builder()
+        .name(name)
+        .help(help)
+        .labelNames(*labels)
+        .register(registry)
 
-    private fun gauge(
-        name: String,
-        help: String,
-        vararg labels: String,
-    ): Gauge =
-        Gauge
-            .builder()
-            .name(name)
-            .help(help)
-            .labelNames(*labels)
-            .register(registry)
+    private fun gauge(name: String, help: String, vararg labels: String): Gauge = Gauge
+        .builder()
+        .name(name)
+        .help(help)
+        .labelNames(*labels)
+        .register(registry)
 
     private companion object {
         const val NANOS_PER_SECOND = 1e9
         val STALL_BOUNDS =
-            doubleArrayOf(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0)
+            doubleArrayOf(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
     }
 }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/observe/NodeTraces.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/observe/NodeTraces.kt
@@ -1,6 +1,7 @@
 package io.apricotslip.core.observe
 
 import io.apricotslip.settings.TraceSettings
+import io.opentelemetry.api.common.Attributes
 import io.opentelemetry.api.trace.Span
 import io.opentelemetry.api.trace.SpanKind
 import io.opentelemetry.api.trace.Tracer
@@ -12,30 +13,24 @@
 import io.opentelemetry.sdk.trace.SdkTracerProvider
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor
 import io.opentelemetry.sdk.trace.samplers.Sampler
-import io.opentelemetry.api.common.Attributes
 
 /** Spans of this node; each hop of a request is one span. The context travels as a W3C `traceparent`. */
-internal class NodeTraces(
-    vm: String,
-    settings: TraceSettings,
-) : AutoCloseable {
+internal class NodeTraces(vm: String, settings: TraceSettings) : AutoCloseable {
     private val provider: SdkTracerProvider =
         SdkTracerProvider
             .builder()
             .setSampler(Sampler.parentBased(Sampler.traceIdRatioBased(settings.sampleRatio)))
-            .setResource(Resource.create(Attributes.builder().put("service.name", SERVICE).put("host.name", vm).build()))
+            .setResource(
+                Resource.create(Attributes.builder().put("service.name", SERVICE).put("host.name", vm).build()),
+            )
             .apply { settings.otlpEndpoint?.let { addSpanProcessor(processor(it)) } }
             .build()
 
     private val tracer: Tracer = provider.get(SERVICE)
 
     /** Starts the span of one hop as a child of [traceparent], or as a root. */
-    fun start(
-        hop: String,
-        kind: SpanKind,
-        traceparent: String?,
-    ): Span {
-        val parent = propagator.extract(Context.root(), traceparent, getter)
+    fun start(hop: String, kind: SpanKind, traceparent: String?): Span {
+        val parent = propagator.extract(Context.root(), Carrier(traceparent), getter)
         return tracer.spanBuilder(hop).setParent(parent).setSpanKind(kind).startSpan()
     }
 
@@ -58,13 +53,14 @@
         const val HEADER = "traceparent"
         val propagator: W3CTraceContextPropagator = W3CTraceContextPropagator.getInstance()
         val getter =
-            object : TextMapGetter<String?> {
-                override fun keys(carrier: String?): Iterable<String> = listOf(HEADER)
+            object : TextMapGetter<Carrier> {
+                @Suppress("OVERRIDE_DEPRECATION")
+                override fun keys(carrier: Carrier): Iterable<String> = listOf(HEADER)
 
-                override fun get(
-                    carrier: String?,
-                    key: String,
-                ): String? = carrier.takeIf { key == HEADER }
+                override fun get(carrier: Carrier?, key: String): String? =
+                    carrier?.traceparent.takeIf { key == HEADER }
             }
     }
+
+    private class Carrier(val traceparent: String?)
 }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwners.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwners.kt
@@ -13,10 +13,7 @@
 import io.apricotslip.wire.Message
 
 /** The engines of the manifest, each with the owner object that serves it on this node. Used on the loop. */
-internal class EngineOwners(
-    private val ctx: OwnerContext,
-    private val factory: EngineOwnerFactory,
-) {
+internal class EngineOwners(private val ctx: OwnerContext, private val factory: EngineOwnerFactory) {
     private val owners = LinkedHashMap<BackendServerId, EngineOwner>()
 
     /** Owners by engine. */
@@ -38,10 +35,7 @@
     }
 
     /** Handles a message of an entry VM; returns whether it was one for owners. */
-    fun receive(
-        from: VmId,
-        message: Message,
-    ): Boolean {
+    fun receive(from: VmId, message: Message): Boolean {
         when (message) {
             is Message.GenerateStart -> start(from, message)
             is Message.GenerateResume -> resume(from, message)
@@ -62,37 +56,23 @@
     fun statuses(): List<EngineStatus> = owners.values.mapNotNull(EngineOwner::status)
 
     /** A link went up or down. */
-    fun peerChanged(
-        vm: VmId,
-        up: Boolean,
-    ): Unit = owners.values.forEach { it.peerChanged(vm, up) }
+    fun peerChanged(vm: VmId, up: Boolean): Unit = owners.values.forEach { it.peerChanged(vm, up) }
 
     private fun holder(request: RequestId): EngineOwner? = owners.values.firstOrNull { it.holds(request) }
 
-    private fun start(
-        from: VmId,
-        message: Message.GenerateStart,
-    ) {
+    private fun start(from: VmId, message: Message.GenerateStart) {
         val owner = owners[message.server]
         if (owner != null) return owner.start(from, message)
         refuse(from, message.request, message.server, Certainty.NOT_RUN)
     }
 
-    private fun resume(
-        from: VmId,
-        message: Message.GenerateResume,
-    ) {
+    private fun resume(from: VmId, message: Message.GenerateResume) {
         val owner = owners[message.server]
         if (owner != null) return owner.resume(from, message)
         refuse(from, message.request, message.server, Certainty.UNKNOWN)
     }
 
-    private fun refuse(
-        from: VmId,
-        request: RequestId,
-        server: BackendServerId,
-        certainty: Certainty,
-    ) {
+    private fun refuse(from: VmId, request: RequestId, server: BackendServerId, certainty: Certainty) {
         val detail = "the manifest in force here has no backend server $server"
         val refusal = Refusal(RefusalCode.NO_BACKEND_SERVER, Step.ROUTE, ctx.self.value, certainty, detail)
         ctx.links.send(from, Message.GenerateRefused(request, refusal))
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineStream.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineStream.kt
@@ -15,10 +15,8 @@
 }
 
 /** Subscriber of an engine's stream with a window: the engine may run ahead of the caller by that many tokens. */
-internal class EngineStream(
-    private val window: Int,
-    private val listener: EngineStreamListener,
-) : BaseSubscriber<EngineEvent>() {
+internal class EngineStream(private val window: Int, private val listener: EngineStreamListener) :
+    BaseSubscriber<EngineEvent>() {
     override fun hookOnSubscribe(subscription: Subscription) {
         request(window.toLong() + 1)
     }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/service/RepeatableCalls.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/service/RepeatableCalls.kt
@@ -29,11 +29,7 @@
         return attempt(request, replicas, NO_REPLICA)
     }
 
-    private fun attempt(
-        request: ServiceRequest,
-        replicas: List<ReplicaEntry>,
-        last: Refusal,
-    ): Mono<ServiceReply> {
+    private fun attempt(request: ServiceRequest, replicas: List<ReplicaEntry>, last: Refusal): Mono<ServiceReply> {
         val replica = replicas.firstOrNull() ?: return Mono.just(ServiceReply.Refused(last))
         return client.call(replica, toCall(request)).publishOn(ctx.loop.scheduler).flatMap { outcome ->
             when (outcome) {
@@ -44,29 +40,22 @@
         }
     }
 
-    private fun again(
-        request: ServiceRequest,
-        replicas: List<ReplicaEntry>,
-        refusal: Refusal,
-    ): Mono<ServiceReply> {
+    private fun again(request: ServiceRequest, replicas: List<ReplicaEntry>, refusal: Refusal): Mono<ServiceReply> {
         if (!retries.tryRetry()) return Mono.just(ServiceReply.Refused(refusal))
         return attempt(request, replicas.drop(1), refusal)
     }
 
-    private fun answered(
-        answer: ServiceAnswer,
-        replica: ReplicaEntry,
-    ): ServiceReply = ServiceReply.Answered(answer.status, answer.contentType, answer.body, replica.id)
+    private fun answered(answer: ServiceAnswer, replica: ReplicaEntry): ServiceReply =
+        ServiceReply.Answered(answer.status, answer.contentType, answer.body, replica.id)
 
-    private fun toCall(request: ServiceRequest) =
-        ServiceCall(
-            method = request.method,
-            path = request.path,
-            contentType = request.contentType,
-            body = request.body,
-            idempotencyKey = null,
-            traceparent = request.traceparent,
-        )
+    private fun toCall(request: ServiceRequest) = ServiceCall(
+        method = request.method,
+        path = request.path,
+        contentType = request.contentType,
+        body = request.body,
+        idempotencyKey = null,
+        traceparent = request.traceparent,
+    )
 
     private companion object {
         val NO_REPLICA =
@@ -76,10 +65,7 @@
 
 /** Round robin over the active replicas of a service. */
 internal object ReplicaTurn {
-    fun order(
-        replicas: List<ReplicaEntry>,
-        turn: Int,
-    ): List<ReplicaEntry> {
+    fun order(replicas: List<ReplicaEntry>, turn: Int): List<ReplicaEntry> {
         val active = replicas.filter { it.state == ServerState.ACTIVE }
         if (active.isEmpty()) return active
         val first = Math.floorMod(turn, active.size)
