--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -34,6 +34,7 @@
 import io.apricotslip.safety.FenceCounter
 import io.apricotslip.safety.Membership
 import io.apricotslip.safety.Reservations
+import io.apricotslip.settings.BuildVersion
 import io.apricotslip.settings.NodeSettings
 import io.apricotslip.wire.KtorPeerNetwork
 import io.apricotslip.wire.PeerNetwork
@@ -56,6 +57,7 @@
             address = settings.vm.address,
             port = settings.peers.port,
             options = SettingsMapping.links(settings.peers),
+            build = BuildVersion.value,
         )
     val links = Links(self, network, loop)
     val platform: PlatformClient =
