Add the operator client

Cause: operators had nothing to check a manifest with, and nothing to read back with.

kotlinx-cli commands over the operators' port: manifest check, in-force and refused, status, running, drain, settings check and example, version. Several nodes stand in one table; an error for one does not hide the others. Exit codes: 0 ok, 1 fault, 2 usage, 3 no answer, 4 not authorised. drain takes no nodes from the environment, so that a list there never drains a fleet.

Ruled out: leaving the end of the process to kotlinx-cli (usage errors on the standard output, code 127): its hook is set by reflection.

Not run: against a real node, which is not there yet.

--- a/apricotslip-cli/src/main/kotlin/io/apricotslip/cli/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.apricotslip.cli
-
-internal const val MODULE = "apricotslip-cli"
--- /dev/null
+++ b/apricotslip-cli/src/main/kotlin/io/apricotslip/cli/node/NodeClient.kt
@@ -0,0 +1,65 @@
+package io.apricotslip.cli.node
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import reactor.core.publisher.Flux
+import reactor.core.publisher.Mono
+import reactor.netty.http.client.HttpClient
+import java.time.Duration
+import java.util.concurrent.TimeoutException
+
+/**
+ * Calls the operators' ports of nodes.
+ *
+ * @param key bearer token, or null.
+ * @param timeout time limit for each node's whole answer.
+ */
+internal class NodeClient(private val key: String?, private val timeout: Duration) {
+    /** Newer nodes may say more than this client knows. */
+    private val json = Json { ignoreUnknownKeys = true }
+    private val http = HttpClient.newConnection().headers {
+        if (key !=
+            null
+        ) {
+            it.set(HttpHeaderNames.AUTHORIZATION, "Bearer $key")
+        }
+    }
+
+    /** Calls all [nodes] at once; the replies are in their order. */
+    fun <T> call(nodes: List<NodeAddress>, call: OperatorCall<T>): List<NodeReply<T>> =
+        Flux.fromIterable(nodes).flatMapSequential { call(it, call) }.collectList().block().orEmpty()
+
+    private fun <T> call(node: NodeAddress, call: OperatorCall<T>): Mono<NodeReply<T>> = http
+        .request(call.method)
+        .uri("http://$node${call.path}")
+        .responseSingle { response, body ->
+            body.asString().defaultIfEmpty("").map { reply(node, call, response.status(), it) }
+        }.timeout(timeout)
+        .onErrorResume { Mono.just(NodeReply.Failed(node, call.step, reason(it))) }
+
+    private fun <T> reply(
+        node: NodeAddress,
+        call: OperatorCall<T>,
+        status: HttpResponseStatus,
+        body: String,
+    ): NodeReply<T> = when (status) {
+        HttpResponseStatus.OK -> decode(node, call, body)
+        HttpResponseStatus.UNAUTHORIZED -> NodeReply.NotAuthorized(node, call.step, unauthorized())
+        HttpResponseStatus.FORBIDDEN -> NodeReply.NotAuthorized(node, call.step, "answers only loopback addresses")
+        else -> NodeReply.Failed(node, call.step, "answered $status")
+    }
+
+    private fun <T> decode(node: NodeAddress, call: OperatorCall<T>, body: String): NodeReply<T> = try {
+        NodeReply.Answered(node, json.decodeFromString(call.serializer, body))
+    } catch (e: SerializationException) {
+        NodeReply.Failed(node, call.step, "answered something else: ${e.message.orEmpty().lineSequence().first()}")
+    }
+
+    private fun unauthorized(): String =
+        if (key == null) "needs a key: give --key-file" else "does not know the key of --key-file"
+
+    private fun reason(e: Throwable): String =
+        if (e is TimeoutException) "no answer within ${timeout.toMillis()} ms" else e.message ?: e.javaClass.simpleName
+}
--- /dev/null
+++ b/apricotslip-cli/src/test/kotlin/io/apricotslip/cli/StubNode.kt
@@ -0,0 +1,29 @@
+package io.apricotslip.cli
+
+import reactor.core.publisher.Mono
+import reactor.netty.DisposableServer
+import reactor.netty.http.server.HttpServer
+
+/** Operators' port that gives [answers] by path; a path without one never answers. */
+internal class StubNode(private val answers: Map<String, String>, private val key: String? = null) : AutoCloseable {
+    private val server: DisposableServer =
+        HttpServer
+            .create()
+            .host("127.0.0.1")
+            .port(0)
+            .handle { request, response ->
+                val body = answers["${request.method()} ${request.uri()}"]
+                when {
+                    key != null && request.requestHeaders()["Authorization"] != "Bearer $key" -> response.status(
+                        401,
+                    ).send()
+                    body == null -> Mono.never()
+                    body.toIntOrNull() != null -> response.status(body.toInt()).send()
+                    else -> response.sendString(Mono.just(body)).then()
+                }
+            }.bindNow()
+
+    val address: String get() = "127.0.0.1:${server.port()}"
+
+    override fun close() = server.disposeNow()
+}
