Reach nodes on one-digit ports too

Cause: reactor-netty took '127.0.0.1:1' for a name to resolve when it came in the URI. The client now gives it as a socket address. Run: verify of apricotslip-cli; the main against a closed port says 'refused'.

--- a/apricotslip-cli/src/main/kotlin/io/apricotslip/cli/node/NodeClient.kt
+++ b/apricotslip-cli/src/main/kotlin/io/apricotslip/cli/node/NodeClient.kt
@@ -7,6 +7,7 @@
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
 import reactor.netty.http.client.HttpClient
+import java.net.InetSocketAddress
 import java.time.Duration
 import java.util.concurrent.TimeoutException
 
@@ -32,8 +33,9 @@
         Flux.fromIterable(nodes).flatMapSequential { call(it, call) }.collectList().block().orEmpty()
 
     private fun <T> call(node: NodeAddress, call: OperatorCall<T>): Mono<NodeReply<T>> = http
+        .remoteAddress { InetSocketAddress.createUnresolved(node.host, node.port) }
         .request(call.method)
-        .uri("http://$node${call.path}")
+        .uri(call.path)
         .responseSingle { response, body ->
             body.asString().defaultIfEmpty("").map { reply(node, call, response.status(), it) }
         }.timeout(timeout)
