Bear any credit that a peer sends

A credit beyond what was sent left the sent mark behind it. Ruled out: the window itself, which other tables cover.

--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerRequests.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerRequests.kt
@@ -19,6 +19,8 @@
 
 /** Reads callers' requests. An error is one sentence for the caller. */
 internal class CallerRequests(private val settings: CallerSettings) {
+    private val deadlineFault = "header ${CallerHeaders.DEADLINE}: must be 1..${settings.maxDeadlineMillis}"
+
     /** Reads a completion of the shape [format]. */
     fun completion(
         format: AnswerFormat,
@@ -26,27 +28,44 @@
         request: RequestId,
         body: String,
     ): Result<ParsedCall, String> {
-        val workClass = workClass(headers) ?: return Err("header ${CallerHeaders.CLASS}: unknown class")
-        val deadline =
-            deadline(headers)
-                ?: return Err("header ${CallerHeaders.DEADLINE}: must be 1..${settings.maxDeadlineMillis}")
-        val text = read(format, body) ?: return Err("body: not a completion request in JSON")
-        if (text.model.isEmpty()) return Err("model: must not be empty")
-        if (text.maxTokens !in 1..MAX_TOKENS) return Err("max_tokens: must be 1..$MAX_TOKENS")
-        val spec =
-            CallSpec(
-                request = request,
-                model = text.model,
-                workClass = workClass,
-                customer = customer(headers) ?: return Err("header ${CallerHeaders.CUSTOMER}: too long"),
-                prompt = text.prompt,
-                maxTokens = text.maxTokens,
-                deadlineMillis = deadline,
-                traceparent = headers[CallerHeaders.TRACEPARENT],
-            )
-        return Ok(ParsedCall(spec, text.stream, format))
+        val workClass = workClass(headers)
+        val customer = customer(headers)
+        val deadline = deadline(headers)
+        val text = read(format, body)
+        val fault =
+            when {
+                workClass == null -> "header ${CallerHeaders.CLASS}: unknown class"
+                customer == null -> "header ${CallerHeaders.CUSTOMER}: longer than $MAX_NAME_CHARS"
+                deadline == null -> deadlineFault
+                text == null -> "body: not a completion request in JSON"
+                text.model.isEmpty() -> "model: must not be empty"
+                text.maxTokens !in 1..MAX_TOKENS -> "max_tokens: must be 1..$MAX_TOKENS"
+                else -> {
+                    val spec = spec(request, headers, workClass, customer, deadline, text)
+                    return Ok(ParsedCall(spec, text.stream, format))
+                }
+            }
+        return Err(fault)
     }
 
+    private fun spec(
+        request: RequestId,
+        headers: HttpHeaders,
+        workClass: WorkClass,
+        customer: CustomerId,
+        deadline: Long,
+        text: CompletionRequest,
+    ) = CallSpec(
+        request = request,
+        model = text.model,
+        workClass = workClass,
+        customer = customer,
+        prompt = text.prompt,
+        maxTokens = text.maxTokens,
+        deadlineMillis = deadline,
+        traceparent = headers[CallerHeaders.TRACEPARENT],
+    )
+
     /** Reads a call of a plain service. */
     fun service(
         method: String,
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerCall.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerCall.kt
@@ -75,9 +75,11 @@
 
     /** Forgets the tokens before [upTo]; returns how many more the engine may send. */
     fun credit(upTo: Int): Int {
-        val freed = (upTo.coerceAtMost(next) - credited).coerceAtLeast(0)
+        if (upTo <= credited) return 0
+        val freed = upTo.coerceAtMost(next) - credited
         repeat(freed) { kept.removeFirst() }
         credited += freed
+        sentUpTo = sentUpTo.coerceAtLeast(credited)
         return freed
     }
 
--- a/apricotslip-core/src/test/kotlin/io/apricotslip/core/owner/OwnerCallTest.kt
+++ b/apricotslip-core/src/test/kotlin/io/apricotslip/core/owner/OwnerCallTest.kt
@@ -6,7 +6,6 @@
 import io.apricotslip.backends.engine.EngineEvent
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
-import net.jqwik.api.constraints.IntRange
 import net.jqwik.api.constraints.Size
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -65,11 +64,8 @@
     }
 
     @Property(seed = "11")
-    fun `whatever is credited and asked again, unsent tokens are in order and without a gap`(
-        @ForAll @Size(max = 30) steps: List<
-            @IntRange(min = 0, max = 20)
-            Int,
-            >,
+    fun `whatever a peer credits and asks again, unsent tokens are in order and without a gap`(
+        @ForAll @Size(max = 30) steps: List<Int>,
     ) {
         val call = call().keepAll(0..20)
         steps.forEachIndexed { i, step -> if (i % 2 == 0) call.credit(step) else call.rewind(step) }
