--- a/apricotslip-test-utils/src/main/kotlin/io/apricotslip/testutils/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.apricotslip.testutils
-
-internal const val MODULE = "apricotslip-test-utils"
