Correct the owner's count of residents by reports

Cause: a standby that took over did not know what the owner had loaded (the demonstration showed 4 free slots at the standby and 3 at the owner). Reports now correct the count unless an own order may not show yet. Ended loads are given back to the store share, which no one did.

--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
@@ -8,6 +8,7 @@
 import io.apricotslip.backends.engine.EngineClient
 import io.apricotslip.backends.engine.OrderResult
 import io.apricotslip.rules.engine.EngineScheduler
+import io.apricotslip.rules.store.StoreBudget
 import io.apricotslip.safety.EvictTicket
 import io.apricotslip.safety.EvictVerdict
 import io.apricotslip.safety.FenceAdvice
@@ -19,6 +20,7 @@
     private val ctx: OwnerContext,
     private val client: EngineClient,
     private val scheduler: EngineScheduler,
+    private val budget: StoreBudget,
     private val changed: () -> Unit,
 ) {
     private val server = client.engine.id
@@ -26,15 +28,27 @@
     private val pending = mutableListOf<PendingEvict>()
     private val pendingLoads = mutableListOf<PendingEvict>()
 
-    /** Loads in flight at this engine, given by this node. */
-    var loading: Int = 0
+    private var inFlight = 0
+
+    /** Whether an order of this node may not show in a report yet. */
+    val underWay: Boolean get() = inFlight > 0 || pending.isNotEmpty() || pendingLoads.isNotEmpty()
+
+    /** Sequence of the newest acknowledged order; older reports do not show it. */
+    var lastSequence: Long = 0
         private set
 
     private class PendingEvict(val ticket: EvictTicket, val adapter: AdapterVersion, val since: Long)
 
+    /** The engine restarted: its sequence begins anew. */
+    fun engineRestarted() {
+        lastSequence = 0
+    }
+
     /** Loads [adapter]; where a full engine makes room by itself, only with consent. */
     fun load(adapter: AdapterVersion) {
-        if (client.engine.whenFull == WhenFull.REFUSES) return sendLoad(adapter, retries = MAX_FENCE_RETRIES) {}
+        if (ctx.guard.mayLoad(server, client.engine.whenFull, ctx.loop.now())) {
+            return sendLoad(adapter, retries = MAX_FENCE_RETRIES) {}
+        }
         val asked = ctx.guard.loadTicket(server, adapter, ctx.loop.now())
         ctx.links.send(asked.envelopes)
         pendingLoads += PendingEvict(asked.ticket, adapter, ctx.loop.now())
@@ -54,7 +68,7 @@
         val mark = ctx.guard.orderGiven(server)
         client.load(resident, nextFence()).publishOn(ctx.loop.scheduler).subscribe { result ->
             ctx.metrics.ordered("touch", label(result))
-            if (result is OrderResult.Done) ctx.links.send(ctx.guard.orderAcknowledged(mark, result.sequence))
+            if (result is OrderResult.Done) acknowledged(mark, result.sequence)
             if (result is OrderResult.StaleFence) advise(result)
             changed()
         }
@@ -110,6 +124,7 @@
 
     private fun giveUpLoad(load: PendingEvict) {
         pendingLoads -= load
+        budget.ended(ctx.loop.now())
         ctx.links.send(ctx.guard.done(load.ticket))
         scheduler.loadFailed(load.adapter, ctx.loop.now())
         changed()
@@ -118,7 +133,9 @@
     private fun sendEvict(evict: PendingEvict, retries: Int) {
         ctx.guard.sent(evict.ticket)
         val mark = ctx.guard.orderGiven(server)
+        inFlight++
         client.evict(evict.adapter, nextFence()).publishOn(ctx.loop.scheduler).subscribe { result ->
+            inFlight--
             ctx.metrics.ordered("evict", label(result))
             when (result) {
                 is OrderResult.Done -> evicted(evict, mark, result.sequence)
@@ -131,7 +148,7 @@
     }
 
     private fun evicted(evict: PendingEvict, mark: OrderMark, sequence: Long) {
-        ctx.links.send(ctx.guard.orderAcknowledged(mark, sequence))
+        acknowledged(mark, sequence)
         ctx.links.send(ctx.guard.done(evict.ticket))
         scheduler.evicted(evict.adapter, ctx.loop.now())
         ctx.history.record(EventKind.EVICT) {
@@ -161,10 +178,10 @@
     }
 
     private fun sendLoad(adapter: AdapterVersion, retries: Int, ended: () -> Unit) {
-        loading++
+        inFlight++
         val mark = ctx.guard.orderGiven(server)
         client.load(adapter, nextFence()).publishOn(ctx.loop.scheduler).subscribe { result ->
-            loading--
+            inFlight--
             ctx.metrics.ordered("load", label(result))
             when (result) {
                 is OrderResult.Done -> loaded(adapter, mark, result.sequence)
@@ -177,13 +194,14 @@
 
                 is OrderResult.Rejected, is OrderResult.Unanswered -> loadFailed(adapter, result)
             }
+            budget.ended(ctx.loop.now())
             ended()
             changed()
         }
     }
 
     private fun loaded(adapter: AdapterVersion, mark: OrderMark, sequence: Long) {
-        ctx.links.send(ctx.guard.orderAcknowledged(mark, sequence))
+        acknowledged(mark, sequence)
         scheduler.loaded(adapter, ctx.loop.now())
         ctx.history.record(EventKind.LOAD) { copy(server = client.engine.id.value, adapter = adapter.toString()) }
     }
@@ -193,6 +211,11 @@
         Logger.warn("event=load_failed step=load peer={} adapter={} result={}", server, adapter, label(result))
     }
 
+    private fun acknowledged(mark: OrderMark, sequence: Long) {
+        lastSequence = maxOf(lastSequence, sequence)
+        ctx.links.send(ctx.guard.orderAcknowledged(mark, sequence))
+    }
+
     private fun nextFence(): FenceNumber = ctx.fences.next(server, ctx.membership.list.revision)
 
     private fun advise(result: OrderResult.StaleFence): FenceAdvice =
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -33,7 +33,7 @@
     private val budget: StoreBudget,
 ) {
     private val engine = client.engine
-    private val orders = EngineOrders(ctx, client, scheduler, ::pump)
+    private val orders = EngineOrders(ctx, client, scheduler, budget, ::pump)
     private val streams = OwnerStreams(ctx, client, ::ended)
     private var incarnation: Long? = null
     private var wake: Disposable? = null
@@ -220,7 +220,7 @@
     private fun reported(report: EngineReport) {
         val now = ctx.loop.now()
         val resident = report.adapters.filter { it.resident }.map { it.adapter }
-        if (report.incarnation != incarnation) restarted(report, resident, now)
+        if (report.incarnation != incarnation) restarted(report, resident, now) else reconcile(report, resident, now)
         reachable = true
         ctx.guard.reported(engine.id, Incarnation(report.incarnation), report.sequence, report.running())
         scheduler.foreignUse(ctx.guard.foreignUse(engine.id), now)
@@ -234,10 +234,23 @@
         if (known) {
             Logger.warn("event=engine_restarted step=route peer={} incarnation={}", engine.id, report.incarnation)
             ctx.links.send(ctx.guard.engineRestarted(engine.id))
+            orders.engineRestarted()
         }
         scheduler.reset(resident, now)
     }
 
+    /** Corrects the own count by what other VMs loaded or evicted, unless an own order may not show yet. */
+    private fun reconcile(report: EngineReport, resident: List<AdapterVersion>, now: Long) {
+        if (orders.underWay || report.sequence < orders.lastSequence) return
+        val gone = scheduler.residents - resident.toSet()
+        gone.forEach { scheduler.evicted(it, now) }
+        val new = resident - scheduler.residents
+        new.forEach { scheduler.loaded(it, now) }
+        if (gone.isNotEmpty() || new.isNotEmpty()) {
+            Logger.info("event=residents_corrected peer={} gone={} new={}", engine.id, gone.size, new.size)
+        }
+    }
+
     private fun touch(resident: AdapterVersion?) {
         touched = true
         if (resident != null) orders.touch(resident)
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
@@ -45,6 +45,8 @@
     private var startsHeldUntil = Long.MIN_VALUE
     private var storeNextAt = Long.MAX_VALUE
 
+    override val residents: Set<AdapterVersion> get() = use.adapters
+
     override fun enqueue(work: Work, now: Long) {
         popularity.add(work.adapter, weight(work), now)
         waiting.add(work)
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/EngineScheduler.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/EngineScheduler.kt
@@ -10,6 +10,9 @@
  * feeds it with what happens and carries out what [decide] returns.
  */
 public interface EngineScheduler {
+    /** Adapters that are resident by the own count. */
+    public val residents: Set<AdapterVersion>
+
     /** Adds [work]; the answer to a full queue is a refusal from the next [decide]. */
     public fun enqueue(work: Work, now: Long)
 
