Let go of a stream without ending it at the engine; wait out slow sends

Cause: cancelling a subscription told the engine to end the request, so an owner that woke late would have ended the stream that its standby had taken over. And a lease checked before a connection is opened may end before the order leaves: tenure now waits for the longest send as well, and the connect limit is 500 ms. Tokens of a taken-over stream are checked for their adapter too. Ruled out: keeping connections open for orders, since they may have gone silent.

--- a/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/EngineClient.kt
+++ b/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/EngineClient.kt
@@ -75,7 +75,10 @@
     /** The engine. */
     public val engine: EngineEntry
 
-    /** Starts a request. Fails with [EngineException]. Cancelling the subscription cancels the request there. */
+    /**
+     * Starts a request. Fails with [EngineException]. Cancelling the subscription only closes the connection: the
+     * engine goes on for a while, so that another VM can [resume]; [cancel] ends it.
+     */
     public fun generate(request: EngineRequest): Flux<EngineEvent>
 
     /** Streams the answer of [request] again from token [from]. */
--- a/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/HttpEngineClient.kt
+++ b/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/HttpEngineClient.kt
@@ -4,7 +4,6 @@
 import io.apricotslip.api.id.FenceNumber
 import io.apricotslip.api.id.RequestId
 import io.apricotslip.api.manifest.EngineEntry
-import io.apricotslip.api.outcome.Certainty
 import io.apricotslip.api.outcome.RefusalCode
 import io.apricotslip.api.outcome.Step
 import io.apricotslip.backends.http.Attempt
@@ -26,8 +25,8 @@
  * Client of one engine over HTTP/1.1.
  *
  * Nothing is sent twice. A request or order has a connection of its own, so that it never meets one that the engine
- * is closing or that went silent; only reports share connections. A stream whose subscriber cancels, or whose answer
- * is of another adapter, is cancelled at the engine.
+ * is closing or that went silent; only reports share connections. A stream whose subscriber cancels is only let
+ * go of, for another VM may have taken it up; one whose answer is of another adapter is cancelled at the engine.
  */
 public class HttpEngineClient(
     override val engine: EngineEntry,
@@ -109,13 +108,9 @@
                 .takeUntil { it is EngineEvent.End }
                 .onErrorMap { failures.connection(step, attempt, it) }
                 .doOnError(EngineException::class.java) {
-                    if (it.reason ==
-                        "wrong_adapter"
-                    ) {
-                        cancel(request).subscribe()
-                    }
+                    if (it.refusal.code == RefusalCode.WRONG_ADAPTER) cancel(request).subscribe()
                 }
-                .doOnCancel { if (attempt.giveUp() == Certainty.UNKNOWN) cancel(request).subscribe() }
+                .doOnCancel { attempt.giveUp() }
         }
 
     private fun judge(step: StreamStep, sink: SynchronousSink<EngineEvent>) {
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -43,6 +43,7 @@
 /** The parts of a node, each made from the settings. */
 internal class NodeParts(val settings: NodeSettings, incarnation: Incarnation) : AutoCloseable {
     private val self = settings.vm.id
+    private val engineClients = EngineClientOptions(connectMillis = CONNECT_MILLIS, acquireMillis = ACQUIRE_MILLIS)
     private val random = Random(incarnation.value)
 
     val loop = NodeLoop()
@@ -72,6 +73,7 @@
             leaseNanos = settings.peers.leaseMillis * NANOS_PER_MILLI,
             heartbeatNanos = settings.peers.heartbeatMillis * NANOS_PER_MILLI,
             started = loop.now(),
+            sendNanos = (engineClients.connectMillis + engineClients.acquireMillis) * NANOS_PER_MILLI,
         )
     val guard = EvictGuard(self, membership, incarnation)
     val manifests = ManifestKeeper(loop, history)
@@ -101,7 +103,7 @@
             EngineOwnerFactory(
                 ctx = ownerContext,
                 options = SettingsMapping.scheduler(settings.policy, settings.limits),
-                clients = EngineClientOptions(),
+                clients = engineClients,
                 random = random,
                 budget = shares,
             ),
@@ -173,5 +175,7 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
+        const val CONNECT_MILLIS = 500
+        const val ACQUIRE_MILLIS = 200L
     }
 }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerStreams.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerStreams.kt
@@ -159,7 +159,7 @@
     private inner class Listener(private val call: OwnerCall) : EngineStreamListener {
         override fun onEvent(event: EngineEvent) {
             when (event) {
-                is EngineEvent.Token -> if (call.keep(event)) flush(call)
+                is EngineEvent.Token -> token(call, event)
                 is EngineEvent.End -> whole(call, event)
             }
         }
@@ -171,6 +171,19 @@
         }
     }
 
+    private fun token(call: OwnerCall, token: EngineEvent.Token) {
+        if (token.adapter != call.adapter) return lose(call, wrongAdapter(token))
+        if (call.keep(token)) flush(call)
+    }
+
+    private fun wrongAdapter(token: EngineEvent.Token) = Refusal(
+        code = RefusalCode.WRONG_ADAPTER,
+        step = Step.STREAM,
+        peer = server.value,
+        certainty = Certainty.UNKNOWN,
+        detail = "the engine answered with ${token.adapter}",
+    )
+
     private fun whole(call: OwnerCall, end: EngineEvent.End) {
         call.end = end
         finish(call)
@@ -212,6 +225,7 @@
 
     private fun lose(call: OwnerCall, refusal: Refusal) {
         calls.remove(call.request)
+        call.stream?.dispose()
         finish(call)
         val uncertain = refusal.copy(certainty = Certainty.UNKNOWN)
         ctx.links.send(call.entry, Message.GenerateRefused(call.request, uncertain))
--- a/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/Membership.kt
+++ b/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/Membership.kt
@@ -18,6 +18,8 @@
  * @param heartbeatNanos time between two heartbeats to a peer.
  * @param started when this life of the process began.
  * @param firstSequence first heartbeat number; must differ between two lives of a VM.
+ * @param sendNanos longest time from a check of the lease to the sending of what rests on it, as for opening a
+ * connection; the same at all VMs.
  */
 public class Membership(
     public val self: VmId,
@@ -25,9 +27,10 @@
     private val heartbeatNanos: Long,
     private val started: Long,
     firstSequence: Long = started,
+    sendNanos: Long = 0,
 ) {
     private val answers = PeerAnswers(firstSequence)
-    private val tenure = Tenure(self, leaseNanos + leaseNanos / CLOCK_RATE_MARGIN, started)
+    private val tenure = Tenure(self, leaseNanos + leaseNanos / CLOCK_RATE_MARGIN + sendNanos, started)
     private val quietNanos = 2 * leaseNanos + leaseNanos / QUIET_MARGIN
     private val peerRevisions = HashMap<VmId, ListRevision>()
     private val peerManifests = HashMap<VmId, ManifestRevision>()
