Settle the stand-ins: ready deployments, all settings faults at once, tests

Cause: the first version had no tests, read settings up to the first fault of structure and had no ready settings.

Settings are read by the api's JsonDocument instead of an own walker, which stood twice. The engine's queue bound counts the places left in the batch, so that a request that waits for the next step is not refused too early.

Found by the tests: a reader that resumed beyond the tokens of a stream that had broken waited for ever (a test hung; the table test for it failed with an empty list before the mend). The end of a stream could be told twice when a reader's demand came in the same turn.

--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standin.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standin.kt
@@ -3,11 +3,15 @@
 package io.apricotslip.standins
 
 import com.github.michaelbull.result.fold
-import io.apricotslip.standins.settings.SettingsFault
+import io.apricotslip.api.json.JsonFault
+import io.apricotslip.api.manifest.ManifestText
+import io.apricotslip.standins.manifest.Deployment
+import io.apricotslip.standins.manifest.ManifestGenerator
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import kotlinx.cli.default
 import kotlinx.cli.required
 import org.tinylog.configuration.Configuration
 import org.tinylog.kotlin.Logger
@@ -23,6 +27,7 @@
     logToStandardError()
     val parser = ArgParser("standin")
     StandinKind.entries.forEach { parser.subcommands(StartCommand(it)) }
+    parser.subcommands(ManifestCommand())
     parser.parse(args)
 }
 
@@ -32,13 +37,13 @@
 
     override fun execute() {
         val text = File(file).takeIf { it.isFile }?.readText()
-        if (text == null) refuse(listOf(SettingsFault("$", "'$file' is not a file that can be read")))
+        if (text == null) refuse(listOf(JsonFault("$", "'$file' is not a file that can be read")))
         val started = runCatching { Standins.start(kind, text, id) }
         val result = started.getOrElse { e -> fail(e) }
         result.fold(success = ::serve, failure = ::refuse)
     }
 
-    private fun refuse(faults: List<SettingsFault>): Nothing {
+    private fun refuse(faults: List<JsonFault>): Nothing {
         faults.forEach { System.err.println("$file: $it") }
         exitProcess(EXIT_SETTINGS)
     }
@@ -61,6 +66,21 @@
     }
 }
 
+private class ManifestCommand : Subcommand("manifest", "Writes the manifest of a ready deployment") {
+    private val names = Deployment.entries.map { it.label }
+    private val deployment by option(ArgType.Choice(names, { it }), "deployment", description = "Deployment").required()
+    private val out by option(ArgType.String, "out", description = "File to write").required()
+    private val revision by option(ArgType.Int, "revision", description = "Revision").default(1)
+    private val adapters by option(ArgType.Int, "adapters", description = "Number of adapters")
+        .default(ManifestGenerator.ADAPTERS_OF_A_DEPLOYMENT)
+
+    override fun execute() {
+        val chosen = Deployment.entries.first { it.label == deployment }
+        val manifest = ManifestGenerator.generate(chosen, revision.toLong(), adapters)
+        File(out).writeText(ManifestText.write(manifest))
+    }
+}
+
 /** Standard output is kept for the ports that tests read. */
 private fun logToStandardError() {
     Configuration.set("writer", "console")
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standins.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standins.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.map
+import io.apricotslip.api.json.JsonFault
 import io.apricotslip.api.time.Ticker
 import io.apricotslip.standins.booking.BookingStandin
 import io.apricotslip.standins.config.ConfigStandin
@@ -16,7 +17,6 @@
 import io.apricotslip.standins.settings.ConfigSettings
 import io.apricotslip.standins.settings.EngineListSettings
 import io.apricotslip.standins.settings.EngineSettings
-import io.apricotslip.standins.settings.SettingsFault
 import io.apricotslip.standins.settings.SettingsText
 import io.apricotslip.standins.settings.StandinSettings
 import io.apricotslip.standins.settings.StoreSettings
@@ -25,6 +25,7 @@
 import io.apricotslip.standins.vms.VmsStandin
 import reactor.core.scheduler.Scheduler
 import reactor.core.scheduler.Schedulers
+import reactor.netty.ChannelBindException
 
 /** Starts stand-ins from their settings. */
 public object Standins {
@@ -39,24 +40,34 @@
         kind: StandinKind,
         text: String,
         id: String? = null,
-    ): Result<List<RunningStandin>, List<SettingsFault>> = read(kind, text)
+    ): Result<List<RunningStandin>, List<JsonFault>> = read(kind, text)
         .flatMap { all -> select(all, id) }
-        .map { all -> all.map(::startOne) }
+        .map(::startAll)
 
-    private fun read(kind: StandinKind, text: String): Result<List<StandinSettings>, List<SettingsFault>> =
-        when (kind) {
-            StandinKind.ENGINE -> SettingsText.read(text, EngineSettings.serializer()).map(::listOf)
-            StandinKind.ENGINES -> SettingsText.read(text, EngineListSettings.serializer()).map { it.engines }
-            StandinKind.STORE -> SettingsText.read(text, StoreSettings.serializer()).map(::listOf)
-            StandinKind.CONFIG -> SettingsText.read(text, ConfigSettings.serializer()).map(::listOf)
-            StandinKind.VMS -> SettingsText.read(text, VmsSettings.serializer()).map(::listOf)
-            StandinKind.BOOKING -> SettingsText.read(text, BookingSettings.serializer()).map(::listOf)
-            StandinKind.BOOKINGS -> SettingsText.read(text, BookingListSettings.serializer()).map { it.replicas }
-        }
+    private fun read(kind: StandinKind, text: String): Result<List<StandinSettings>, List<JsonFault>> = when (kind) {
+        StandinKind.ENGINE -> SettingsText.read(text, EngineSettings.serializer()).map(::listOf)
+        StandinKind.ENGINES -> SettingsText.read(text, EngineListSettings.serializer()).map { it.engines }
+        StandinKind.STORE -> SettingsText.read(text, StoreSettings.serializer()).map(::listOf)
+        StandinKind.CONFIG -> SettingsText.read(text, ConfigSettings.serializer()).map(::listOf)
+        StandinKind.VMS -> SettingsText.read(text, VmsSettings.serializer()).map(::listOf)
+        StandinKind.BOOKING -> SettingsText.read(text, BookingSettings.serializer()).map(::listOf)
+        StandinKind.BOOKINGS -> SettingsText.read(text, BookingListSettings.serializer()).map { it.replicas }
+    }
 
-    private fun select(all: List<StandinSettings>, id: String?): Result<List<StandinSettings>, List<SettingsFault>> {
+    private fun select(all: List<StandinSettings>, id: String?): Result<List<StandinSettings>, List<JsonFault>> {
         val selected = all.filter { id == null || it.id == id }
-        return if (selected.isEmpty()) Err(listOf(SettingsFault("$", "no stand-in is named '$id'"))) else Ok(selected)
+        return if (selected.isEmpty()) Err(listOf(JsonFault("$", "no stand-in is named '$id'"))) else Ok(selected)
+    }
+
+    private fun startAll(all: List<StandinSettings>): List<RunningStandin> {
+        val started = mutableListOf<RunningStandin>()
+        try {
+            all.forEach { started += startOne(it) }
+        } catch (e: ChannelBindException) {
+            started.forEach(RunningStandin::stop)
+            throw e
+        }
+        return started
     }
 
     private fun startOne(settings: StandinSettings): RunningStandin {
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/Batch.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/Batch.kt
@@ -35,6 +35,9 @@
     /** Streams that run. */
     val size: Int get() = running.size
 
+    /** Streams that may still join. */
+    val room: Int get() = settings.batch - running.size
+
     /** Tokens made. */
     var tokens: Long = 0
         private set
@@ -85,7 +88,7 @@
     /** Lets waiting streams join; gives the time of their prefill. */
     private fun admit(): Double {
         var millis = 0.0
-        while (running.size < settings.batch) {
+        while (room > 0) {
             val stream = queue.poll() ?: break
             running += stream
             stream.run()
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/CompletionStream.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/CompletionStream.kt
@@ -105,27 +105,39 @@
         readers.toList().forEach(Reader::drain)
     }
 
+    /** What a reader has heard so far. */
+    private enum class Told { TOKENS, LAST, ALL }
+
     private inner class Reader(private val sink: FluxSink<String>, private var offset: Int) {
-        private var isTold = false
+        private var told = Told.TOKENS
 
         fun drain() {
             while (offset < produced && canTake()) sink.next(token(offset++))
-            if (offset == produced) tellEnd()
+            if (offset >= produced) tellEnd()
         }
 
         private fun tellEnd() {
             val cause = cause ?: return
-            if (!isTold && canTake()) {
-                isTold = true
-                sink.next(last(cause))
-            }
-            if (cause != EndCause.FINISHED) return sink.complete()
-            if (isTold && canTake()) {
-                sink.next(DONE)
-                sink.complete()
+            when (told) {
+                Told.TOKENS -> if (canTake()) tellLast(cause)
+                Told.LAST -> if (canTake()) tellDone()
+                Told.ALL -> Unit
             }
         }
 
+        private fun tellLast(cause: EndCause) {
+            val isWhole = cause == EndCause.FINISHED
+            told = if (isWhole) Told.LAST else Told.ALL
+            sink.next(last(cause))
+            if (isWhole) tellEnd() else sink.complete()
+        }
+
+        private fun tellDone() {
+            told = Told.ALL
+            sink.next(DONE)
+            sink.complete()
+        }
+
         private fun canTake(): Boolean = !sink.isCancelled && sink.requestedFromDownstream() > 0
     }
 
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/Engine.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/Engine.kt
@@ -23,7 +23,7 @@
     private val recorder = EngineRecorder(settings.id, history)
     private val slots = AdapterSlots(settings.slots)
     private val fence = FenceGuard(settings.fence)
-    private val queue = RequestQueue(settings.queue)
+    private val queue = RequestQueue()
     private val cache = PrefixCache(settings.cache, loop)
     private val batch = Batch(settings, loop, queue, cache, this)
     private val streams = mutableMapOf<String, CompletionStream>()
@@ -44,7 +44,7 @@
             isStarting -> StartAnswer.Reason.STARTING
             body.requestId in streams -> StartAnswer.Reason.DUPLICATE_REQUEST
             slots.state(adapter) != SlotState.RESIDENT -> StartAnswer.Reason.ADAPTER_NOT_RESIDENT
-            queue.isFull && batch.size >= settings.batch -> StartAnswer.Reason.FULL
+            queue.size >= settings.queue + batch.room -> StartAnswer.Reason.FULL
             else -> null
         }
         if (refusal != null) return StartAnswer.Refused(refusal)
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/RequestQueue.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/RequestQueue.kt
@@ -2,8 +2,8 @@
 
 import java.util.PriorityQueue
 
-/** Bounded queue of streams: lowest priority number first, then the order of arrival. */
-internal class RequestQueue(private val capacity: Int) {
+/** Streams that wait: lowest priority number first, then the order of arrival. */
+internal class RequestQueue {
     private class Entry(val stream: CompletionStream, val arrival: Long)
 
     private val order = compareBy<Entry>({ it.stream.body.priority }, { it.arrival })
@@ -13,9 +13,6 @@
     /** Streams that wait. */
     val size: Int get() = entries.size
 
-    /** Whether a further stream would be refused. */
-    val isFull: Boolean get() = entries.size >= capacity
-
     /** Adds [stream] at its place. */
     fun add(stream: CompletionStream) {
         entries.add(Entry(stream, arrivals++))
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/http/StandinServer.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/http/StandinServer.kt
@@ -9,6 +9,7 @@
 import org.tinylog.kotlin.Logger
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
+import reactor.netty.ChannelBindException
 import reactor.netty.DisposableServer
 import reactor.netty.http.server.HttpServer
 import reactor.netty.http.server.HttpServerRequest
@@ -39,7 +40,12 @@
     fun start(serviceRoutes: List<Route>, adminRoutes: List<Route>) {
         this.serviceRoutes = serviceRoutes
         service = bind(settings.address, settings.port, serviceRoutes, connections)
-        admin = bind(settings.admin.address, settings.admin.port, adminRoutes, gate = null)
+        admin = try {
+            bind(settings.admin.address, settings.admin.port, adminRoutes, gate = null)
+        } catch (e: ChannelBindException) {
+            service.disposeNow(stopTimeout)
+            throw e
+        }
     }
 
     /** Refuses new connections and closes the open ones. */
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/BookingSettings.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/BookingSettings.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.standins.settings
 
+import io.apricotslip.api.json.RuleFault
 import kotlinx.serialization.Serializable
 
 /** Settings of one replica of the booking service. [answerMillis] is the time from a run to its answer. */
@@ -14,7 +15,7 @@
     val answerMillis: Long = 0,
     val available: Int = 100,
 ) : StandinSettings {
-    override fun faults(path: String): List<SettingsFault> = commonFaults(path) + rules(path) {
+    override fun faults(path: String): List<RuleFault> = commonFaults(path) + rules(path) {
         name("zone", zone)
         atLeast("answerMillis", answerMillis, 0)
         atLeast("available", available, 0)
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/ConfigSettings.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/ConfigSettings.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.standins.settings
 
+import io.apricotslip.api.json.RuleFault
 import io.apricotslip.standins.platform.DownBehaviour
 import kotlinx.serialization.Serializable
 import java.io.File
@@ -22,7 +23,7 @@
     val maxWaitMillis: Long = 60_000,
     val whenDown: DownBehaviour = DownBehaviour.REFUSE,
 ) : StandinSettings {
-    override fun faults(path: String): List<SettingsFault> = commonFaults(path) + rules(path) {
+    override fun faults(path: String): List<RuleFault> = commonFaults(path) + rules(path) {
         atLeast("callsPerSecond", callsPerSecond, 1)
         atLeast("maxValueBytes", maxValueBytes, 1)
         atLeast("maxWaitMillis", maxWaitMillis, 0)
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/EngineSettings.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/EngineSettings.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.standins.settings
 
+import io.apricotslip.api.json.RuleFault
 import io.apricotslip.api.manifest.FenceCheck
 import io.apricotslip.api.manifest.WhenFull
 import kotlinx.serialization.Serializable
@@ -19,7 +20,7 @@
     val coldRequests: Int = 8,
     val coldFactor: Double = 3.0,
 ) : Checked {
-    override fun faults(path: String): List<SettingsFault> = rules(path) {
+    override fun faults(path: String): List<RuleFault> = rules(path) {
         positive("stepMillis", stepMillis)
         atLeast("stepMillisPerRequest", stepMillisPerRequest, 0)
         atLeast("prefillMillisPerThousandChars", prefillMillisPerThousandChars, 0)
@@ -46,7 +47,7 @@
     val maxEvents: Int = 4_096,
     val seed: Long = 1,
 ) : Checked {
-    override fun faults(path: String): List<SettingsFault> = rules(path) {
+    override fun faults(path: String): List<RuleFault> = rules(path) {
         atLeast("blocks", blocks, 0)
         atLeast("blockChars", blockChars, 1)
         atLeast("eventLagMillis", eventLagMillis, 0)
@@ -62,7 +63,7 @@
     val millis: Long = 250,
     val timeoutMillis: Long = 120_000,
 ) : Checked {
-    override fun faults(path: String): List<SettingsFault> = rules(path) {
+    override fun faults(path: String): List<RuleFault> = rules(path) {
         nested("store", store)
         atLeast("millis", millis, 0)
         atLeast("timeoutMillis", timeoutMillis, 1)
@@ -100,7 +101,7 @@
     val maxTokens: Int = 100_000,
     val maxPromptChars: Int = 1_000_000,
 ) : StandinSettings {
-    override fun faults(path: String): List<SettingsFault> = commonFaults(path) + rules(path) {
+    override fun faults(path: String): List<RuleFault> = commonFaults(path) + rules(path) {
         name("model", model)
         name("zone", zone)
         atLeast("slots", slots, 1)
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/ListenSettings.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/ListenSettings.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.standins.settings
 
+import io.apricotslip.api.json.RuleFault
 import kotlinx.serialization.Serializable
 
 private const val LOOPBACK = "127.0.0.1"
@@ -7,7 +8,7 @@
 /** Port of the stand-in's own controls. */
 @Serializable
 internal data class AdminSettings(val port: Int, val address: String = LOOPBACK) : Checked {
-    override fun faults(path: String): List<SettingsFault> = rules(path) {
+    override fun faults(path: String): List<RuleFault> = rules(path) {
         port("port", port)
         address("address", address)
     }
@@ -16,7 +17,7 @@
 /** Address of another stand-in. */
 @Serializable
 internal data class PeerAddress(val port: Int, val address: String = LOOPBACK) : Checked {
-    override fun faults(path: String): List<SettingsFault> = rules(path) {
+    override fun faults(path: String): List<RuleFault> = rules(path) {
         positive("port", port)
         port("port", port)
         address("address", address)
@@ -41,11 +42,11 @@
     val historyFile: String?
 
     /** Faults of the common keys. */
-    fun commonFaults(path: String): List<SettingsFault> = rules(path) {
+    fun commonFaults(path: String): List<RuleFault> = rules(path) {
         name("id", id)
         address("address", address)
         port("port", port)
         nested("admin", admin)
-        require("admin.port", port == 0 || port != admin.port, "must differ from port")
+        require("admin.port", port == 0 || port != admin.port, "must differ from port", listOf("port"))
     }
 }
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/Rules.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/Rules.kt
@@ -1,19 +1,20 @@
 package io.apricotslip.standins.settings
 
+import io.apricotslip.api.json.RuleFault
 import io.apricotslip.api.manifest.IpNumber
 
 private const val MAX_PORT = 65_535
 
 /** Collects the faults of one settings object whose keys start with [path]. */
 internal class Rules(private val path: String) {
-    private val faults = mutableListOf<SettingsFault>()
+    private val faults = mutableListOf<RuleFault>()
 
     /** Everything found so far. */
-    fun found(): List<SettingsFault> = faults
+    fun found(): List<RuleFault> = faults
 
-    /** Adds a fault at [key] unless [isMet]. */
-    fun require(key: String, isMet: Boolean, reason: String) {
-        if (!isMet) faults += SettingsFault(place(key), reason)
+    /** Adds a fault at [key] unless [isMet], which also depends on the keys [reads]. */
+    fun require(key: String, isMet: Boolean, reason: String, reads: List<String> = emptyList()) {
+        if (!isMet) faults += RuleFault(place(key), reason, reads.map(::place))
     }
 
     /** [value] must be at least [min]. */
@@ -50,4 +51,4 @@
 }
 
 /** Applies [block] to the settings at [path] and gives the faults found. */
-internal fun rules(path: String, block: Rules.() -> Unit): List<SettingsFault> = Rules(path).apply(block).found()
+internal fun rules(path: String, block: Rules.() -> Unit): List<RuleFault> = Rules(path).apply(block).found()
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/StoreSettings.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/StoreSettings.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.standins.settings
 
+import io.apricotslip.api.json.RuleFault
 import kotlinx.serialization.Serializable
 
 /**
@@ -23,11 +24,12 @@
     val failureRatio: Double = 0.0,
     val seed: Long = 1,
 ) : StandinSettings {
-    override fun faults(path: String): List<SettingsFault> = commonFaults(path) + rules(path) {
+    override fun faults(path: String): List<RuleFault> = commonFaults(path) + rules(path) {
         positive("loadsPerSecond", loadsPerSecond)
         atLeast("fullSpeedInFlight", fullSpeedInFlight, 1)
         atLeast("maxInFlight", maxInFlight, 1)
-        require("maxInFlight", maxInFlight >= fullSpeedInFlight, "must be at least fullSpeedInFlight")
+        val isOrdered = maxInFlight >= fullSpeedInFlight
+        require("maxInFlight", isOrdered, "must be at least fullSpeedInFlight", listOf("fullSpeedInFlight"))
         atLeast("loadMillis", loadMillis, 0)
         require("failureRatio", failureRatio in 0.0..1.0, "must be between 0 and 1")
     }
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/VmsSettings.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/VmsSettings.kt
@@ -1,6 +1,7 @@
 package io.apricotslip.standins.settings
 
 import io.apricotslip.api.fleet.Vm
+import io.apricotslip.api.json.RuleFault
 import io.apricotslip.standins.platform.DownBehaviour
 import kotlinx.serialization.Serializable
 
@@ -18,7 +19,7 @@
     val maxWaitMillis: Long = 60_000,
     val whenDown: DownBehaviour = DownBehaviour.REFUSE,
 ) : StandinSettings {
-    override fun faults(path: String): List<SettingsFault> = commonFaults(path) + rules(path) {
+    override fun faults(path: String): List<RuleFault> = commonFaults(path) + rules(path) {
         atLeast("revision", revision, 1)
         atLeast("lagMillis", lagMillis, 0)
         atLeast("maxWaitMillis", maxWaitMillis, 0)
--- /dev/null
+++ b/apricotslip-standins/src/test/kotlin/io/apricotslip/standins/VirtualLoop.kt
@@ -0,0 +1,30 @@
+package io.apricotslip.standins
+
+import io.apricotslip.api.time.Ticker
+import io.apricotslip.standins.loop.Loop
+import reactor.core.publisher.Mono
+import reactor.test.scheduler.VirtualTimeScheduler
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+/** A loop in virtual time. */
+internal class VirtualLoop {
+    private val scheduler = VirtualTimeScheduler.create()
+    val loop = Loop(scheduler, Ticker { scheduler.now(TimeUnit.NANOSECONDS) })
+
+    fun advance(millis: Long) = scheduler.advanceTimeBy(Duration.ofMillis(millis))
+
+    /** Subscribes to [mono] and remembers what it gives, and when in milliseconds. */
+    fun <T : Any> watch(mono: Mono<T>) = Watched<T>().also { w ->
+        mono.subscribe {
+            w.value = it
+            w.atMillis = scheduler.now(TimeUnit.MILLISECONDS)
+        }
+        scheduler.advanceTime()
+    }
+}
+
+internal class Watched<T> {
+    var value: T? = null
+    var atMillis: Long? = null
+}
