--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -34,16 +34,14 @@
 import io.apricotslip.safety.FenceCounter
 import io.apricotslip.safety.Membership
 import io.apricotslip.safety.Reservations
+import io.apricotslip.settings.BuildVersion
 import io.apricotslip.settings.NodeSettings
 import io.apricotslip.wire.KtorPeerNetwork
 import io.apricotslip.wire.PeerNetwork
 import kotlin.random.Random
 
 /** The parts of a node, each made from the settings. */
-internal class NodeParts(
-    val settings: NodeSettings,
-    incarnation: Incarnation,
-) : AutoCloseable {
+internal class NodeParts(val settings: NodeSettings, incarnation: Incarnation) : AutoCloseable {
     private val self = settings.vm.id
     private val random = Random(incarnation.value)
 
@@ -59,12 +57,13 @@
             address = settings.vm.address,
             port = settings.peers.port,
             options = SettingsMapping.links(settings.peers),
+            build = BuildVersion.value,
         )
     val links = Links(self, network, loop)
     val platform: PlatformClient =
         HttpPlatformClient(
-            configuration = settings.platform.configuration.toInet(),
-            vms = settings.platform.vms.toInet(),
+            configuration = settings.platform.configuration.toEndpoint(),
+            vms = settings.platform.vms.toEndpoint(),
             options = SettingsMapping.platform(settings.platform),
         )
     val membership =
@@ -74,7 +73,7 @@
             heartbeatNanos = settings.peers.heartbeatMillis * NANOS_PER_MILLI,
             started = loop.now(),
         )
-    val guard = EvictGuard(self, membership)
+    val guard = EvictGuard(self, membership, incarnation)
     val manifests = ManifestKeeper(loop, history)
     val readiness = Readiness(self, loop, membership, manifests)
     val shares = StoreShares(self, loop, links)
@@ -99,13 +98,13 @@
         EngineOwners(
             ctx = ownerContext,
             factory =
-                EngineOwnerFactory(
-                    ctx = ownerContext,
-                    options = SettingsMapping.scheduler(settings.policy, settings.limits),
-                    clients = EngineClientOptions(),
-                    random = random,
-                    budget = shares,
-                ),
+            EngineOwnerFactory(
+                ctx = ownerContext,
+                options = SettingsMapping.scheduler(settings.policy, settings.limits),
+                clients = EngineClientOptions(),
+                random = random,
+                budget = shares,
+            ),
         )
     private val entryContext =
         EntryContext(
@@ -131,12 +130,12 @@
         HomeCalls(
             ctx = entryContext,
             reservations =
-                Reservations(
-                    self = self,
-                    membership = membership,
-                    skewMillis = settings.reservations.clockSkewMillis,
-                    retentionMillis = settings.reservations.retentionMillis,
-                ),
+            Reservations(
+                self = self,
+                membership = membership,
+                skewMillis = settings.reservations.clockSkewMillis,
+                retentionMillis = settings.reservations.retentionMillis,
+            ),
             client = serviceClient,
             wallMillis = System::currentTimeMillis,
         )
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryCalls.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryCalls.kt
@@ -31,36 +31,33 @@
     var stopping: Boolean = false
 
     /** Runs a request. Callable from any thread; cancelling the subscription cancels the request. */
-    fun open(spec: CallSpec): Flux<CallEvent> =
-        Flux.defer {
-            val sink = Sinks.many().unicast().onBackpressureBuffer<CallEvent>()
-            ctx.loop.run("admit") { admit(spec, sink) }
-            sink
-                .asFlux()
-                .doOnNext { if (it is CallEvent.Token) ctx.loop.run("credit") { consumed(spec.request, it.offset + 1) } }
-                .doOnCancel { ctx.loop.run("cancel") { cancelled(spec.request) } }
-        }
+    fun open(spec: CallSpec): Flux<CallEvent> = Flux.defer {
+        val sink = Sinks.many().unicast().onBackpressureBuffer<CallEvent>()
+        ctx.loop.run("admit") { admit(spec, sink) }
+        sink
+            .asFlux()
+            .doOnNext {
+                if (it is CallEvent.Token) ctx.loop.run("credit") { consumed(spec.request, it.offset + 1) }
+            }
+            .doOnCancel { ctx.loop.run("cancel") { cancelled(spec.request) } }
+    }
 
     /** What callers are being served. */
-    fun running(): List<RunningRequest> =
-        calls.values.map {
-            RunningRequest(
-                request = it.spec.request,
-                adapter = it.binding.adapter,
-                server = it.server,
-                workClass = it.spec.workClass,
-                customer = it.spec.customer,
-                step = (if (it.next > 0) Step.STREAM else Step.QUEUE).label,
-                tokens = it.next,
-                ageMillis = (ctx.loop.now() - it.admittedAt) / NANOS_PER_MILLI,
-            )
-        }
+    fun running(): List<RunningRequest> = calls.values.map {
+        RunningRequest(
+            request = it.spec.request,
+            adapter = it.binding.adapter,
+            server = it.server,
+            workClass = it.spec.workClass,
+            customer = it.spec.customer,
+            step = (if (it.next > 0) Step.STREAM else Step.QUEUE).label,
+            tokens = it.next,
+            ageMillis = (ctx.loop.now() - it.admittedAt) / NANOS_PER_MILLI,
+        )
+    }
 
     /** Handles a message of an owner; returns whether it was one for entry VMs. */
-    fun receive(
-        from: VmId,
-        message: Message,
-    ): Boolean {
+    fun receive(from: VmId, message: Message): Boolean {
         when (message) {
             is Message.GenerateChunk -> byAttempt(message.request, from)?.let { chunk(it, message) }
             is Message.GenerateEnd -> byAttempt(message.request, from)?.let { end(it, message) }
@@ -74,31 +71,24 @@
     fun peerUp(vm: VmId): Unit = ofOwner(vm).forEach { router.resume(it, vm) }
 
     /** A link to [vm] went down: another VM takes the answers up unless it is back soon. */
-    fun peerDown(vm: VmId): Unit =
-        ofOwner(vm).forEach { call ->
-            val attempt = call.attempt
-            call.timers +=
-                ctx.loop.after(LINK_PATIENCE_MILLIS, "resume_elsewhere") {
-                    val same = !call.done && call.attempt == attempt && call.owner == vm
-                    if (same && !ctx.links.isUp(vm)) router.resumeElsewhere(call, vm, ::lost)
-                }
-        }
+    fun peerDown(vm: VmId): Unit = ofOwner(vm).forEach { call ->
+        val attempt = call.attempt
+        call.timers +=
+            ctx.loop.after(LINK_PATIENCE_MILLIS, "resume_elsewhere") {
+                val same = !call.done && call.attempt == attempt && call.owner == vm
+                if (same && !ctx.links.isUp(vm)) router.resumeElsewhere(call, vm, ::lost)
+            }
+    }
 
     private fun ofOwner(vm: VmId): List<EntryCall> = calls.values.filter { it.owner == vm }
 
-    private fun byAttempt(
-        attempt: RequestId,
-        from: VmId,
-    ): EntryCall? {
+    private fun byAttempt(attempt: RequestId, from: VmId): EntryCall? {
         val name = attempt.value.substringBeforeLast(ATTEMPT_SEPARATOR, attempt.value)
         val call = calls[attempt] ?: calls[RequestId(name)] ?: return null
         return call.takeIf { it.attempt == attempt && it.owner == from }
     }
 
-    private fun admit(
-        spec: CallSpec,
-        sink: Sinks.Many<CallEvent>,
-    ) {
+    private fun admit(spec: CallSpec, sink: Sinks.Many<CallEvent>) {
         val binding = ctx.manifests.current?.let { m -> m.resolve(spec.model)?.let { Binding(it, m.revision) } }
         val code = refusalAtAdmission(spec, binding)
         if (code != null || binding == null) {
@@ -115,23 +105,15 @@
         router.place(call, ::lost)
     }
 
-    private fun refusalAtAdmission(
-        spec: CallSpec,
-        binding: Binding?,
-    ): RefusalCode? =
-        when {
-            stopping -> RefusalCode.STOPPING
-            ctx.manifests.current == null || !ctx.ready() -> RefusalCode.NOT_READY
-            binding == null -> RefusalCode.UNKNOWN_ADAPTER
-            spec.request in calls -> RefusalCode.BAD_REQUEST
-            else -> limits.tryAdmit(spec.customer, spec.workClass, ctx.loop.now())
-        }
+    private fun refusalAtAdmission(spec: CallSpec, binding: Binding?): RefusalCode? = when {
+        stopping -> RefusalCode.STOPPING
+        ctx.manifests.current == null || !ctx.ready() -> RefusalCode.NOT_READY
+        binding == null -> RefusalCode.UNKNOWN_ADAPTER
+        spec.request in calls -> RefusalCode.BAD_REQUEST
+        else -> limits.tryAdmit(spec.customer, spec.workClass, ctx.loop.now())
+    }
 
-    private fun refuseAtOnce(
-        sink: Sinks.Many<CallEvent>,
-        code: RefusalCode,
-        spec: CallSpec,
-    ) {
+    private fun refuseAtOnce(sink: Sinks.Many<CallEvent>, code: RefusalCode, spec: CallSpec) {
         val refusal = Refusal(code, Step.ADMIT, ctx.self.value, Certainty.NOT_RUN, "not admitted: ${spec.model}")
         ctx.metrics.refused(refusal)
         ctx.history.record(EventKind.REFUSED) {
@@ -141,10 +123,7 @@
         sink.tryEmitComplete()
     }
 
-    private fun chunk(
-        call: EntryCall,
-        message: Message.GenerateChunk,
-    ) {
+    private fun chunk(call: EntryCall, message: Message.GenerateChunk) {
         if (message.offset > call.next) return router.resume(call, checkNotNull(call.owner))
         if (call.next == 0) ctx.metrics.firstToken(call.spec.workClass, ctx.loop.now() - call.admittedAt)
         message.tokens.drop(call.next - message.offset).forEach { text ->
@@ -153,10 +132,7 @@
         }
     }
 
-    private fun end(
-        call: EntryCall,
-        message: Message.GenerateEnd,
-    ) {
+    private fun end(call: EntryCall, message: Message.GenerateEnd) {
         if (message.adapter != call.binding.adapter) return lose(call, wrongAdapter(message))
         if (message.total > call.next) return router.resume(call, checkNotNull(call.owner))
         ctx.links.send(checkNotNull(call.owner), Message.GenerateCredit(call.attempt, message.total))
@@ -166,24 +142,15 @@
         close(call)
     }
 
-    private fun refused(
-        call: EntryCall,
-        refusal: Refusal,
-    ) {
+    private fun refused(call: EntryCall, refusal: Refusal) {
         call.lastRefusal = refusal
         if (refusal.certainty == Certainty.UNKNOWN) call.mayHaveRun = true
         router.refused(call, refusal, ::lost)
     }
 
-    private fun lost(
-        call: EntryCall,
-        refusal: Refusal,
-    ): Unit = lose(call, refusal)
+    private fun lost(call: EntryCall, refusal: Refusal): Unit = lose(call, refusal)
 
-    private fun lose(
-        call: EntryCall,
-        refusal: Refusal,
-    ) {
+    private fun lose(call: EntryCall, refusal: Refusal) {
         val certainty = if (call.mayHaveRun || call.next > 0) Certainty.UNKNOWN else refusal.certainty
         val told = refusal.copy(certainty = certainty)
         ctx.metrics.refused(told)
@@ -217,15 +184,18 @@
         if (call.done) return
         router.cancel(call)
         ctx.metrics.refused(
-            Refusal(RefusalCode.CANCELLED, Step.STREAM, call.spec.customer.value, Certainty.UNKNOWN, "the caller went away"),
+            Refusal(
+                RefusalCode.CANCELLED,
+                Step.STREAM,
+                call.spec.customer.value,
+                Certainty.UNKNOWN,
+                "the caller went away",
+            ),
         )
         close(call)
     }
 
-    private fun consumed(
-        request: RequestId,
-        upTo: Int,
-    ) {
+    private fun consumed(request: RequestId, upTo: Int) {
         val call = calls[request] ?: return
         call.consumed = upTo
         val owner = call.owner ?: return
@@ -243,28 +213,23 @@
         call.sink.tryEmitComplete()
     }
 
-    private fun wrongAdapter(message: Message.GenerateEnd) =
-        Refusal(
-            code = RefusalCode.WRONG_ADAPTER,
-            step = Step.STREAM,
-            peer = message.server.value,
-            certainty = Certainty.UNKNOWN,
-            detail = "the engine answered with ${message.adapter}",
+    private fun wrongAdapter(message: Message.GenerateEnd) = Refusal(
+        code = RefusalCode.WRONG_ADAPTER,
+        step = Step.STREAM,
+        peer = message.server.value,
+        certainty = Certainty.UNKNOWN,
+        detail = "the engine answered with ${message.adapter}",
+    )
+
+    private fun record(call: EntryCall, kind: EventKind): Unit = ctx.history.record(kind) {
+        copy(
+            request = call.spec.request.value,
+            server = call.server?.value,
+            adapter = call.binding.adapter.adapter.value,
+            version = call.binding.adapter.version.value,
+            revision = call.binding.revision.value,
         )
-
-    private fun record(
-        call: EntryCall,
-        kind: EventKind,
-    ): Unit =
-        ctx.history.record(kind) {
-            copy(
-                request = call.spec.request.value,
-                server = call.server?.value,
-                adapter = call.binding.adapter.adapter.value,
-                version = call.binding.adapter.version.value,
-                revision = call.binding.revision.value,
-            )
-        }
+    }
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryRouter.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryRouter.kt
@@ -25,10 +25,7 @@
     private val retries: RetryBudget,
 ) {
     /** Sends [call] to the owner of the best engine, or to its standby. */
-    fun place(
-        call: EntryCall,
-        lose: LoseCall,
-    ) {
+    fun place(call: EntryCall, lose: LoseCall) {
         if (call.done) return
         call.newAttempt()
         if (call.attempts == 1) retries.sent()
@@ -39,11 +36,7 @@
     }
 
     /** Decides what a refusal of an attempt means. */
-    fun refused(
-        call: EntryCall,
-        refusal: Refusal,
-        lose: LoseCall,
-    ) {
+    fun refused(call: EntryCall, refusal: Refusal, lose: LoseCall) {
         val server = call.server
         val owner = call.owner
         if (call.next > 0 || !mayRetry(call, refusal)) return lose(call, refusal)
@@ -53,10 +46,7 @@
     }
 
     /** Asks [vm] for the rest of the answer. */
-    fun resume(
-        call: EntryCall,
-        vm: VmId,
-    ) {
+    fun resume(call: EntryCall, vm: VmId) {
         val server = call.server ?: return
         call.owner = vm
         call.credited = call.next
@@ -64,11 +54,7 @@
     }
 
     /** [gone] is unreachable: the next VM in the ranking takes the stream up from the engine. */
-    fun resumeElsewhere(
-        call: EntryCall,
-        gone: VmId,
-        lose: LoseCall,
-    ) {
+    fun resumeElsewhere(call: EntryCall, gone: VmId, lose: LoseCall) {
         val server = call.server ?: return
         call.mayHaveRun = true
         val next = ranking(server).firstOrNull { it != gone && ctx.links.isUp(it) }
@@ -83,10 +69,7 @@
         call.owner?.let { ctx.links.send(it, Message.GenerateCancel(call.attempt)) }
     }
 
-    private fun trySend(
-        call: EntryCall,
-        server: BackendServerId,
-    ): Boolean {
+    private fun trySend(call: EntryCall, server: BackendServerId): Boolean {
         val vm = ranking(server).firstOrNull { (server to it) !in call.avoided && ctx.links.isUp(it) } ?: return false
         val start =
             Message.GenerateStart(
@@ -108,10 +91,7 @@
         return true
     }
 
-    private fun waitAndPlace(
-        call: EntryCall,
-        lose: LoseCall,
-    ) {
+    private fun waitAndPlace(call: EntryCall, lose: LoseCall) {
         val refusal = call.lastRefusal ?: nowhere(call)
         val waited = ctx.loop.now() - call.admittedAt
         if (waited > PLACE_PATIENCE_NANOS) return lose(call, refusal)
@@ -119,13 +99,14 @@
         call.timers += ctx.loop.after(PLACE_PAUSE_MILLIS, "place_again") { place(call, lose) }
     }
 
-    private fun mayRetry(
-        call: EntryCall,
-        refusal: Refusal,
-    ): Boolean {
+    private fun mayRetry(call: EntryCall, refusal: Refusal): Boolean {
         val proved = refusal.certainty == Certainty.NOT_RUN
         return when (refusal.code) {
-            RefusalCode.NOT_READY, RefusalCode.NO_BACKEND_SERVER, RefusalCode.STOPPING, RefusalCode.PEER_UNREACHABLE -> proved
+            RefusalCode.NOT_READY,
+            RefusalCode.NO_BACKEND_SERVER,
+            RefusalCode.STOPPING,
+            RefusalCode.PEER_UNREACHABLE,
+            -> proved
 
             RefusalCode.BACKEND_SERVER_FAILED -> {
                 call.attempts <= ctx.settings.limits.retriesPerRequest && (proved || retries.tryRetry())
@@ -135,13 +116,12 @@
         }
     }
 
-    private fun request(call: EntryCall) =
-        PlacementRequest(
-            adapter = call.binding.adapter,
-            workClass = call.spec.workClass,
-            maxTokens = call.spec.maxTokens,
-            prefix = call.spec.prompt.take(PREFIX_CHARS).hashCode().toLong(),
-        )
+    private fun request(call: EntryCall) = PlacementRequest(
+        adapter = call.binding.adapter,
+        workClass = call.spec.workClass,
+        maxTokens = call.spec.maxTokens,
+        prefix = call.spec.prompt.take(PREFIX_CHARS).hashCode().toLong(),
+    )
 
     private fun ranking(server: BackendServerId): List<VmId> =
         OwnershipRanking.rank(server, ctx.membership.list.vms).take(USERS_PER_ENGINE)
@@ -151,14 +131,12 @@
 
     private fun nowhere(call: EntryCall): Refusal {
         val engines: List<EngineEntry> = ctx.manifests.current?.activeEngines(call.binding.adapter.adapter).orEmpty()
-        val detail = if (engines.isEmpty()) "no active engine has the model" else "no VM that serves an engine is reachable"
+        val detail = if (engines.isEmpty()) "no active engine has the model" else "no VM that serves one is reachable"
         return Refusal(RefusalCode.NO_BACKEND_SERVER, Step.ROUTE, ctx.self.value, Certainty.NOT_RUN, detail)
     }
 
-    private fun unreachable(
-        vm: VmId,
-        certainty: Certainty,
-    ) = Refusal(RefusalCode.PEER_UNREACHABLE, Step.FORWARD, vm.value, certainty, "the link to the owner is down")
+    private fun unreachable(vm: VmId, certainty: Certainty) =
+        Refusal(RefusalCode.PEER_UNREACHABLE, Step.FORWARD, vm.value, certainty, "the link to the owner is down")
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/FleetDispatcher.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/FleetDispatcher.kt
@@ -25,23 +25,20 @@
     private val offeredAt = HashMap<VmId, Long>()
 
     /** Adopts [list] when it is newer. */
-    fun adopt(
-        list: VmList,
-        source: String,
-    ) {
+    fun adopt(list: VmList, source: String) {
         val before = membership.list.revision
         links.send(membership.adopt(list, loop.now()))
         noteList(before, source)
     }
 
     /** Regular work: heartbeats. */
-    fun tick(): Unit = links.send(membership.tick(loop.now()))
+    fun tick() {
+        membership.manifestRevision = manifests.revision
+        links.send(membership.tick(loop.now()))
+    }
 
     /** Handles a message of the core protocol from [from]. */
-    fun receive(
-        from: VmId,
-        message: SafetyMessage,
-    ) {
+    fun receive(from: VmId, message: SafetyMessage) {
         val now = loop.now()
         val before = membership.list.revision
         when (message) {
@@ -59,7 +56,11 @@
 
             is SafetyMessage.ManifestOffer -> manifests.offer(message.text, message.revision.value, from.value)
 
-            is SafetyMessage.Pass, is SafetyMessage.EvictAsk, is SafetyMessage.EvictAnswer, is SafetyMessage.EvictDone -> {
+            is SafetyMessage.Pass,
+            is SafetyMessage.EvictAsk,
+            is SafetyMessage.EvictAnswer,
+            is SafetyMessage.EvictDone,
+            -> {
                 links.send(guard.receive(from, message, now))
             }
         }
@@ -68,26 +69,21 @@
 
     /** Pushes the manifest in force to all peers. */
     fun pushManifest() {
-        val offer = SafetyMessage.ManifestOffer(manifests.revision, manifests.text)
-        links.broadcast(Message.Safety(offer))
+        offer()?.let(links::broadcast)
     }
 
-    private fun offerIfOlder(
-        peer: VmId,
-        revision: ManifestRevision,
-        now: Long,
-    ) {
+    private fun offer(): Message? =
+        manifests.inForce?.let { Message.Safety(SafetyMessage.ManifestOffer(it.manifest.revision, it.text)) }
+
+    private fun offerIfOlder(peer: VmId, revision: ManifestRevision, now: Long) {
         if (revision >= manifests.revision) return
         val last = offeredAt[peer]
         if (last != null && now - last < OFFER_PAUSE_NANOS) return
         offeredAt[peer] = now
-        links.send(peer, Message.Safety(SafetyMessage.ManifestOffer(manifests.revision, manifests.text)))
+        offer()?.let { links.send(peer, it) }
     }
 
-    private fun noteList(
-        before: ListRevision,
-        source: String,
-    ) {
+    private fun noteList(before: ListRevision, source: String) {
         val list = membership.list
         if (list.revision == before) return
         Logger.info("event=list_adopted revision={} vms={} source={}", list.revision, list.vms.size, source)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/StoreShares.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/StoreShares.kt
@@ -10,12 +10,12 @@
 import io.apricotslip.rules.store.StoreShare
 import io.apricotslip.wire.Message
 
-/** This node's part of the weight store's rate, sized by its weight on the list, and loans between nodes. Used on the loop. */
-internal class StoreShares(
-    private val self: VmId,
-    private val loop: NodeLoop,
-    private val links: Links,
-) : StoreBudget {
+/**
+ * This node's part of the weight store's rate, sized by its weight on the list, and loans between nodes. Used on the
+ * loop.
+ */
+internal class StoreShares(private val self: VmId, private val loop: NodeLoop, private val links: Links) :
+    StoreBudget {
     private var entry: StoreEntry? = null
     private var part = 0.0
     private var share: StoreShare? = null
@@ -53,10 +53,7 @@
     }
 
     /** Handles a message about loans; returns whether it was one. */
-    fun receive(
-        from: VmId,
-        message: Message,
-    ): Boolean {
+    fun receive(from: VmId, message: Message): Boolean {
         when (message) {
             is Message.TokenAsk -> lend(from, message)
             is Message.TokenLoan -> share?.borrowed(message.tokens, loop.now())
@@ -67,10 +64,7 @@
 
     override fun tryTake(now: Long): Boolean = share?.tryTake(now) ?: false
 
-    override fun tryTake(
-        now: Long,
-        urgency: LoadUrgency,
-    ): Boolean = share?.tryTake(now, urgency) ?: false
+    override fun tryTake(now: Long, urgency: LoadUrgency): Boolean = share?.tryTake(now, urgency) ?: false
 
     override fun ended(now: Long) {
         share?.ended(now)
@@ -78,10 +72,7 @@
 
     override fun nextAt(now: Long): Long = share?.nextAt(now) ?: Long.MAX_VALUE
 
-    private fun lend(
-        from: VmId,
-        ask: Message.TokenAsk,
-    ) {
+    private fun lend(from: VmId, ask: Message.TokenAsk) {
         val urgency = LoadUrgency.entries.getOrNull(ask.urgency) ?: return
         val lent = share?.lend(ask.wanted, loop.now(), urgency) ?: return
         if (lent > 0.0) links.send(from, Message.TokenLoan(lent))
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerServer.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerServer.kt
@@ -36,16 +36,15 @@
     private val concurrent = AtomicInteger()
 
     /** Starts to listen. */
-    fun start(): DisposableServer =
-        HttpServer
-            .create()
-            .host(settings.address)
-            .port(settings.port)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .idleTimeout(Duration.ofMillis(settings.idleMillis))
-            .httpRequestDecoder { it.maxHeaderSize(settings.maxHeaderBytes) }
-            .route(::routes)
-            .bindNow(BIND_TIMEOUT)
+    fun start(): DisposableServer = HttpServer
+        .create()
+        .host(settings.address)
+        .port(settings.port)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .idleTimeout(Duration.ofMillis(settings.idleMillis))
+        .httpRequestDecoder { it.maxHeaderSize(settings.maxHeaderBytes) }
+        .route(::routes)
+        .bindNow(BIND_TIMEOUT)
 
     private fun routes(routes: HttpServerRoutes) {
         routes
@@ -61,7 +60,11 @@
         handler: () -> Publisher<Void>,
     ): Publisher<Void> {
         val length = request.requestHeaders()[HttpHeaderNames.CONTENT_LENGTH]?.toLongOrNull() ?: 0
-        if (length > settings.maxBodyBytes) return refuse(response, requestId(request), RefusalCode.TOO_LARGE, "body too large")
+        if (length >
+            settings.maxBodyBytes
+        ) {
+            return refuse(response, requestId(request), RefusalCode.TOO_LARGE, "body too large")
+        }
         if (concurrent.incrementAndGet() > settings.maxConcurrent) {
             concurrent.decrementAndGet()
             return refuse(response, requestId(request), RefusalCode.OVERLOADED, "too many requests at once")
@@ -85,10 +88,7 @@
         }
     }
 
-    private fun answer(
-        call: ParsedCall,
-        response: HttpServerResponse,
-    ): Mono<Void> {
+    private fun answer(call: ParsedCall, response: HttpServerResponse): Mono<Void> {
         val now = System.currentTimeMillis() / MILLIS_PER_SECOND
         val writer = AnswerWriter(call.format, call.spec.request.value, now)
         val answer = CallerAnswer(response, call.spec.request, writer)
@@ -96,10 +96,7 @@
         return if (call.stream) answer.stream(events) else answer.whole(events)
     }
 
-    private fun service(
-        request: HttpServerRequest,
-        response: HttpServerResponse,
-    ): Publisher<Void> {
+    private fun service(request: HttpServerRequest, response: HttpServerResponse): Publisher<Void> {
         val id = requestId(request)
         val target = request.uri().removePrefix(SERVICES)
         val service = target.substringBefore('/').substringBefore('?')
@@ -114,10 +111,7 @@
         }
     }
 
-    private fun reply(
-        call: ServiceRequest,
-        response: HttpServerResponse,
-    ): Mono<Void> =
+    private fun reply(call: ServiceRequest, response: HttpServerResponse): Mono<Void> =
         services.open(call).flatMap { reply ->
             when (reply) {
                 is ServiceReply.Refused -> send(response, call.request, reply.refusal)
@@ -151,11 +145,7 @@
         detail: String,
     ): Publisher<Void> = send(response, request, Refusal(code, Step.PARSE, vm, Certainty.NOT_RUN, detail))
 
-    private fun send(
-        response: HttpServerResponse,
-        request: RequestId,
-        refusal: Refusal,
-    ): Mono<Void> {
+    private fun send(response: HttpServerResponse, request: RequestId, refusal: Refusal): Mono<Void> {
         Logger.debug("event=refused request={} code={} step={}", request, refusal.code.label, refusal.step.label)
         return CallerAnswer.refuse(response, request, refusal)
     }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CompletionRequest.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CompletionRequest.kt
@@ -23,9 +23,6 @@
 
 /** One message of a chat. */
 @Serializable
-internal data class ChatMessage(
-    val role: String,
-    val content: String,
-)
+internal data class ChatMessage(val role: String, val content: String)
 
 internal const val DEFAULT_MAX_TOKENS = 256
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/operators/OperatorServer.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/operators/OperatorServer.kt
@@ -17,7 +17,6 @@
 import reactor.netty.http.server.HttpServerRequest
 import reactor.netty.http.server.HttpServerResponse
 import reactor.netty.http.server.HttpServerRoutes
-import java.net.InetSocketAddress
 import java.security.MessageDigest
 import java.time.Duration
 
@@ -37,19 +36,15 @@
 }
 
 /** The operators' port. With keys, each call needs one; without, only loopback addresses are answered. */
-internal class OperatorServer(
-    private val settings: OperatorSettings,
-    private val view: OperatorView,
-) {
+internal class OperatorServer(private val settings: OperatorSettings, private val view: OperatorView) {
     /** Starts to listen. */
-    fun start(): DisposableServer =
-        HttpServer
-            .create()
-            .host(settings.address)
-            .port(settings.port)
-            .idleTimeout(Duration.ofSeconds(IDLE_SECONDS))
-            .route(::routes)
-            .bindNow(Duration.ofSeconds(BIND_SECONDS))
+    fun start(): DisposableServer = HttpServer
+        .create()
+        .host(settings.address)
+        .port(settings.port)
+        .idleTimeout(Duration.ofSeconds(IDLE_SECONDS))
+        .route(::routes)
+        .bindNow(Duration.ofSeconds(BIND_SECONDS))
 
     private fun routes(routes: HttpServerRoutes) {
         routes
@@ -58,17 +53,20 @@
             .get("/metrics") { i, o -> allowed(i, o) { text(o, OK, view.metrics()) } }
             .get("/v1/status") { i, o -> allowed(i, o) { json(o, view.status(), NodeStatus.serializer()) } }
             .get("/v1/manifest") { i, o -> allowed(i, o) { json(o, view.manifest(), ManifestInForce.serializer()) } }
-            .get("/v1/refused") { i, o -> allowed(i, o) { json(o, view.refused(), ListSerializer(RefusedManifest.serializer())) } }
-            .get("/v1/running") { i, o -> allowed(i, o) { json(o, view.running(), ListSerializer(RunningRequest.serializer())) } }
+            .get("/v1/refused") { i, o ->
+                allowed(i, o) { json(o, view.refused(), ListSerializer(RefusedManifest.serializer())) }
+            }
+            .get("/v1/running") { i, o ->
+                allowed(i, o) { json(o, view.running(), ListSerializer(RunningRequest.serializer())) }
+            }
             .post("/v1/drain") { i, o -> allowed(i, o) { json(o, view.drain(), DrainAnswer.serializer()) } }
     }
 
-    private fun ready(response: HttpServerResponse): Publisher<Void> =
-        view.status().flatMap { status ->
-            val ready = status.notReady.isEmpty()
-            val body = if (ready) "ready\n" else status.notReady.joinToString("\n", postfix = "\n")
-            Mono.from(text(response, if (ready) OK else UNAVAILABLE, Mono.just(body)))
-        }
+    private fun ready(response: HttpServerResponse): Publisher<Void> = view.status().flatMap { status ->
+        val ready = status.notReady.isEmpty()
+        val body = if (ready) "ready\n" else status.notReady.joinToString("\n", postfix = "\n")
+        Mono.from(text(response, if (ready) OK else UNAVAILABLE, Mono.just(body)))
+    }
 
     private fun allowed(
         request: HttpServerRequest,
@@ -78,7 +76,7 @@
         if (settings.keys.isNotEmpty()) {
             return if (hasKey(request)) answer() else text(response, UNAUTHORIZED, Mono.just("a key is needed\n"))
         }
-        val remote = request.remoteAddress() as? InetSocketAddress
+        val remote = request.remoteAddress()
         val local = remote?.address?.isLoopbackAddress == true
         return if (local) answer() else text(response, FORBIDDEN, Mono.just("only loopback is answered without keys\n"))
     }
@@ -92,20 +90,14 @@
         response: HttpServerResponse,
         value: Mono<T>,
         serializer: KSerializer<T>,
-    ): Publisher<Void> =
-        response
-            .header(HttpHeaderNames.CONTENT_TYPE, "application/json")
-            .sendString(value.map { json.encodeToString(serializer, it) })
+    ): Publisher<Void> = response
+        .header(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        .sendString(value.map { json.encodeToString(serializer, it) })
 
-    private fun text(
-        response: HttpServerResponse,
-        status: Int,
-        body: Mono<String>,
-    ): Publisher<Void> =
-        response
-            .status(status)
-            .header(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
-            .sendString(body)
+    private fun text(response: HttpServerResponse, status: Int, body: Mono<String>): Publisher<Void> = response
+        .status(status)
+        .header(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+        .sendString(body)
 
     private companion object {
         const val OK = 200
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -1,6 +1,7 @@
 package io.apricotslip.core.owner
 
 import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.Incarnation
 import io.apricotslip.api.id.RequestId
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.manifest.EngineEntry
@@ -32,7 +33,7 @@
     private val budget: StoreBudget,
 ) {
     private val engine = client.engine
-    private val orders = EngineOrders(ctx, client, scheduler, ::pump)
+    private val orders = EngineOrders(ctx, client, scheduler, budget, ::pump)
     private val streams = OwnerStreams(ctx, client, ::ended)
     private var incarnation: Long? = null
     private var wake: Disposable? = null
@@ -55,10 +56,7 @@
     fun role(): Role = ctx.membership.hasRole(engine.id, ctx.loop.now())
 
     /** Takes a new request of the entry VM [from], or refuses it as not run. */
-    fun start(
-        from: VmId,
-        message: Message.GenerateStart,
-    ) {
+    fun start(from: VmId, message: Message.GenerateStart) {
         val code = refusalFor()
         if (code != null) return refuseStart(from, message, code)
         val now = ctx.loop.now()
@@ -70,10 +68,7 @@
     }
 
     /** Continues the answer of a request at another entry link or for another owner. */
-    fun resume(
-        from: VmId,
-        message: Message.GenerateResume,
-    ): Unit = streams.resume(from, message)
+    fun resume(from: VmId, message: Message.GenerateResume): Unit = streams.resume(from, message)
 
     /** The caller went away. */
     fun cancel(request: RequestId) {
@@ -83,19 +78,13 @@
     }
 
     /** The entry VM passed on all tokens before [upTo]. */
-    fun credit(
-        request: RequestId,
-        upTo: Int,
-    ): Unit = streams.credit(request, upTo)
+    fun credit(request: RequestId, upTo: Int): Unit = streams.credit(request, upTo)
 
     /** Whether [request] waits or runs here. */
     fun holds(request: RequestId): Boolean = streams[request] != null
 
     /** A link to [vm] went down or came up. */
-    fun peerChanged(
-        vm: VmId,
-        up: Boolean,
-    ): Unit = streams.peerChanged(vm, up)
+    fun peerChanged(vm: VmId, up: Boolean): Unit = streams.peerChanged(vm, up)
 
     /** Regular work: role changes, reports, expired streams. */
     fun tick() {
@@ -112,7 +101,13 @@
     fun poll() {
         if (role() == Role.None && size == 0) return
         client.report().publishOn(ctx.loop.scheduler).subscribe(::reported) { lost ->
-            if (reachable) Logger.warn("event=engine_unreachable step=route peer={} reason=\"{}\"", engine.id, lost.message)
+            if (reachable) {
+                Logger.warn(
+                    "event=engine_unreachable step=route peer={} reason=\"{}\"",
+                    engine.id,
+                    lost.message,
+                )
+            }
             reachable = false
         }
     }
@@ -144,18 +139,14 @@
     /** What to tell the other nodes; null unless this node speaks for the engine. */
     fun status(): EngineStatus? = scheduler.status(ctx.loop.now()).takeIf { reachable && role() != Role.None }
 
-    private fun refusalFor(): RefusalCode? =
-        when {
-            role() == Role.None || !ctx.membership.leaseHeld(ctx.loop.now()) -> RefusalCode.NOT_READY
-            engine.state == ServerState.LEAVING || leaving -> RefusalCode.NO_BACKEND_SERVER
-            !reachable -> RefusalCode.NO_BACKEND_SERVER
-            else -> null
-        }
+    private fun refusalFor(): RefusalCode? = when {
+        role() == Role.None || !ctx.membership.leaseHeld(ctx.loop.now()) -> RefusalCode.NOT_READY
+        engine.state == ServerState.LEAVING || leaving -> RefusalCode.NO_BACKEND_SERVER
+        !reachable -> RefusalCode.NO_BACKEND_SERVER
+        else -> null
+    }
 
-    private fun work(
-        message: Message.GenerateStart,
-        now: Long,
-    ) = Work(
+    private fun work(message: Message.GenerateStart, now: Long) = Work(
         id = message.request,
         adapter = message.adapter,
         workClass = message.workClass,
@@ -196,10 +187,7 @@
         pump()
     }
 
-    private fun notStarted(
-        ending: StreamEnding.NotStarted,
-        now: Long,
-    ) {
+    private fun notStarted(ending: StreamEnding.NotStarted, now: Long) {
         val missing = ending.reason == ADAPTER_NOT_RESIDENT
         ending.call.started = false
         scheduler.startRefused(ending.call.request, missing, now)
@@ -218,58 +206,57 @@
         }
     }
 
-    private fun refuse(
-        request: RequestId,
-        code: RefusalCode,
-        step: Step,
-    ) {
+    private fun refuse(request: RequestId, code: RefusalCode, step: Step) {
         val refusal = Refusal(code, step, engine.id.value, Certainty.NOT_RUN, "the engine did not start the request")
         streams.refuse(request, refusal)
     }
 
-    private fun refuseStart(
-        from: VmId,
-        message: Message.GenerateStart,
-        code: RefusalCode,
-    ) {
-        val refusal = Refusal(code, Step.ROUTE, ctx.self.value, Certainty.NOT_RUN, "this VM does not serve ${engine.id} now")
+    private fun refuseStart(from: VmId, message: Message.GenerateStart, code: RefusalCode) {
+        val refusal =
+            Refusal(code, Step.ROUTE, ctx.self.value, Certainty.NOT_RUN, "this VM does not serve ${engine.id} now")
         ctx.links.send(from, Message.GenerateRefused(message.request, refusal))
     }
 
     private fun reported(report: EngineReport) {
         val now = ctx.loop.now()
         val resident = report.adapters.filter { it.resident }.map { it.adapter }
-        if (report.incarnation != incarnation) restarted(report, resident, now)
+        if (report.incarnation != incarnation) restarted(report, resident, now) else reconcile(report, resident, now)
         reachable = true
-        ctx.guard.reported(engine.id, report.incarnation, report.sequence, report.running())
+        ctx.guard.reported(engine.id, Incarnation(report.incarnation), report.sequence, report.running())
         scheduler.foreignUse(ctx.guard.foreignUse(engine.id), now)
         if (!touched && role() != Role.None) touch(resident.firstOrNull())
         pump()
     }
 
-    private fun restarted(
-        report: EngineReport,
-        resident: List<AdapterVersion>,
-        now: Long,
-    ) {
+    private fun restarted(report: EngineReport, resident: List<AdapterVersion>, now: Long) {
         val known = incarnation != null
         incarnation = report.incarnation
         if (known) {
             Logger.warn("event=engine_restarted step=route peer={} incarnation={}", engine.id, report.incarnation)
-            ctx.guard.engineRestarted(engine.id)
+            ctx.links.send(ctx.guard.engineRestarted(engine.id))
+            orders.engineRestarted()
         }
         scheduler.reset(resident, now)
     }
 
+    /** Corrects the own count by what other VMs loaded or evicted, unless an own order may not show yet. */
+    private fun reconcile(report: EngineReport, resident: List<AdapterVersion>, now: Long) {
+        if (orders.underWay || report.sequence < orders.lastSequence) return
+        val gone = scheduler.residents - resident.toSet()
+        gone.forEach { scheduler.evicted(it, now) }
+        val new = resident - scheduler.residents
+        new.forEach { scheduler.loaded(it, now) }
+        if (gone.isNotEmpty() || new.isNotEmpty()) {
+            Logger.info("event=residents_corrected peer={} gone={} new={}", engine.id, gone.size, new.size)
+        }
+    }
+
     private fun touch(resident: AdapterVersion?) {
         touched = true
         if (resident != null) orders.touch(resident)
     }
 
-    private fun scheduleWake(
-        at: Long,
-        now: Long,
-    ) {
+    private fun scheduleWake(at: Long, now: Long) {
         wake?.dispose()
         if (at == Long.MAX_VALUE) return
         val millis = ((at - now) / NANOS_PER_MILLI).coerceIn(1, MAX_WAKE_MILLIS)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerCall.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerCall.kt
@@ -10,8 +10,8 @@
 import reactor.core.Disposable
 
 /**
- * One request at the owner of its engine: where its tokens go, and the tokens that the entry VM has not yet credited, kept
- * so that a lost link loses none. Used on the loop.
+ * One request at the owner of its engine: where its tokens go, and those that the entry VM has not yet credited,
+ * kept so that a lost link loses none. Used on the loop.
  *
  * @property work what the scheduler knows of it; null for a stream that was taken over from another owner.
  */
@@ -75,9 +75,11 @@
 
     /** Forgets the tokens before [upTo]; returns how many more the engine may send. */
     fun credit(upTo: Int): Int {
-        val freed = (upTo.coerceAtMost(next) - credited).coerceAtLeast(0)
+        if (upTo <= credited) return 0
+        val freed = upTo.coerceAtMost(next) - credited
         repeat(freed) { kept.removeFirst() }
         credited += freed
+        sentUpTo = sentUpTo.coerceAtLeast(credited)
         return freed
     }
 
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerStreams.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerStreams.kt
@@ -47,10 +47,7 @@
     }
 
     /** Starts [call] on the engine. The caller checked the guard in this very turn. */
-    fun start(
-        call: OwnerCall,
-        priority: Int,
-    ) {
+    fun start(call: OwnerCall, priority: Int) {
         val start = checkNotNull(call.start)
         call.started = true
         call.stallNanos = call.work?.let { ctx.loop.now() - it.arrivedAt } ?: 0
@@ -79,10 +76,7 @@
     }
 
     /** Sends the answer again to [from], or takes up the engine's stream of an owner that fell silent. */
-    fun resume(
-        from: VmId,
-        message: Message.GenerateResume,
-    ) {
+    fun resume(from: VmId, message: Message.GenerateResume) {
         val known = calls[message.request]
         if (known != null) {
             known.entry = from
@@ -95,24 +89,23 @@
         call.attachAt(message.from)
         add(call)
         ctx.guard.started(server, call.adapter, call.request)
-        Logger.info("event=stream_taken_over step=stream peer={} request={} from={}", server, call.request, message.from)
+        Logger.info(
+            "event=stream_taken_over step=stream peer={} request={} from={}",
+            server,
+            call.request,
+            message.from,
+        )
         subscribe(call, client.resume(call.request, message.from))
     }
 
-    fun credit(
-        request: RequestId,
-        upTo: Int,
-    ) {
+    fun credit(request: RequestId, upTo: Int) {
         val call = calls[request] ?: return
         credit(call, upTo)
         val total = call.end?.total
         if (total != null && call.endSent && upTo >= total) calls.remove(request)
     }
 
-    private fun credit(
-        call: OwnerCall,
-        upTo: Int,
-    ) {
+    private fun credit(call: OwnerCall, upTo: Int) {
         val freed = call.credit(upTo)
         (call.stream as? EngineStream)?.more(freed)
     }
@@ -133,19 +126,13 @@
     }
 
     /** Refuses a request that was never started. */
-    fun refuse(
-        request: RequestId,
-        refusal: Refusal,
-    ) {
+    fun refuse(request: RequestId, refusal: Refusal) {
         val call = calls.remove(request) ?: return
         call.span?.end()
         ctx.links.send(call.entry, Message.GenerateRefused(request, refusal))
     }
 
-    fun peerChanged(
-        vm: VmId,
-        up: Boolean,
-    ) {
+    fun peerChanged(vm: VmId, up: Boolean) {
         calls.values.filter { it.entry == vm }.forEach { it.orphanedAt = if (up) null else ctx.loop.now() }
     }
 
@@ -163,18 +150,13 @@
         Logger.info("event=stream_abandoned step=stream peer={} request={}", call.entry, call.request)
     }
 
-    private fun subscribe(
-        call: OwnerCall,
-        events: Flux<EngineEvent>,
-    ) {
+    private fun subscribe(call: OwnerCall, events: Flux<EngineEvent>) {
         val stream = EngineStream(window, Listener(call))
         call.stream = stream
         events.publishOn(ctx.loop.scheduler, window).subscribe(stream)
     }
 
-    private inner class Listener(
-        private val call: OwnerCall,
-    ) : EngineStreamListener {
+    private inner class Listener(private val call: OwnerCall) : EngineStreamListener {
         override fun onEvent(event: EngineEvent) {
             when (event) {
                 is EngineEvent.Token -> if (call.keep(event)) flush(call)
@@ -189,10 +171,7 @@
         }
     }
 
-    private fun whole(
-        call: OwnerCall,
-        end: EngineEvent.End,
-    ) {
+    private fun whole(call: OwnerCall, end: EngineEvent.End) {
         call.end = end
         finish(call)
         flush(call)
@@ -205,10 +184,7 @@
         ended(StreamEnding.Finished(call))
     }
 
-    private fun failed(
-        call: OwnerCall,
-        error: Throwable,
-    ) {
+    private fun failed(call: OwnerCall, error: Throwable) {
         if (calls[call.request] !== call || call.end != null) return
         val refusal = (error as? EngineException)?.refusal ?: lost(error)
         when {
@@ -218,18 +194,13 @@
         }
     }
 
-    private fun notStarted(
-        call: OwnerCall,
-        error: Throwable,
-    ) {
+    private fun notStarted(call: OwnerCall, error: Throwable) {
         ctx.guard.ended(server, call.adapter, call.request)
         ended(StreamEnding.NotStarted(call, error.engineReason()))
     }
 
-    private fun mayResume(
-        call: OwnerCall,
-        error: Throwable,
-    ): Boolean = call.resumes < MAX_RESUMES && error.engineReason() != UNKNOWN_REQUEST
+    private fun mayResume(call: OwnerCall, error: Throwable): Boolean =
+        call.resumes < MAX_RESUMES && error.engineReason() != UNKNOWN_REQUEST
 
     private fun resumeLater(call: OwnerCall) {
         call.resumes++
@@ -239,30 +210,33 @@
         }
     }
 
-    private fun lose(
-        call: OwnerCall,
-        refusal: Refusal,
-    ) {
+    private fun lose(call: OwnerCall, refusal: Refusal) {
         calls.remove(call.request)
         finish(call)
         val uncertain = refusal.copy(certainty = Certainty.UNKNOWN)
         ctx.links.send(call.entry, Message.GenerateRefused(call.request, uncertain))
-        Logger.warn("event=stream_lost step=stream peer={} request={} detail=\"{}\"", server, call.request, refusal.detail)
+        Logger.warn(
+            "event=stream_lost step=stream peer={} request={} detail=\"{}\"",
+            server,
+            call.request,
+            refusal.detail,
+        )
     }
 
-    private fun lost(error: Throwable) =
-        Refusal(
-            code = RefusalCode.BACKEND_SERVER_FAILED,
-            step = Step.STREAM,
-            peer = server.value,
-            certainty = Certainty.UNKNOWN,
-            detail = error.message.orEmpty(),
-        )
+    private fun lost(error: Throwable) = Refusal(
+        code = RefusalCode.BACKEND_SERVER_FAILED,
+        step = Step.STREAM,
+        peer = server.value,
+        certainty = Certainty.UNKNOWN,
+        detail = error.message.orEmpty(),
+    )
 
-    private fun logLost(
-        call: OwnerCall,
-        error: Throwable,
-    ): Unit = Logger.info("event=cancel_lost step=stream peer={} request={} reason=\"{}\"", server, call.request, error.message)
+    private fun logLost(call: OwnerCall, error: Throwable): Unit = Logger.info(
+        "event=cancel_lost step=stream peer={} request={} reason=\"{}\"",
+        server,
+        call.request,
+        error.message,
+    )
 
     /** Sends what the link takes; the rest goes when it is up again and the entry VM asks. */
     private fun flush(call: OwnerCall) {
@@ -276,10 +250,7 @@
         if (!call.endSent) call.endSent = ctx.links.send(call.entry, message(call, end)) == SendResult.QUEUED
     }
 
-    private fun message(
-        call: OwnerCall,
-        end: EngineEvent.End,
-    ) = Message.GenerateEnd(
+    private fun message(call: OwnerCall, end: EngineEvent.End) = Message.GenerateEnd(
         request = call.request,
         total = end.total,
         adapter = end.adapter,
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/service/ServiceCalls.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/service/ServiceCalls.kt
@@ -14,15 +14,12 @@
 import reactor.core.publisher.Mono
 import reactor.core.publisher.MonoSink
 
-/** Calls of plain services at their entry VM: sends each keyed call to the home VM of its key. Used on the loop, but for [open]. */
-internal class ServiceCalls(
-    private val ctx: EntryContext,
-    private val direct: RepeatableCalls,
-) {
-    private class Pending(
-        val home: VmId,
-        val sink: MonoSink<ServiceReply>,
-    )
+/**
+ * Calls of plain services at their entry VM: sends each keyed call to the home VM of its key. Used on the loop, but for
+ * [open].
+ */
+internal class ServiceCalls(private val ctx: EntryContext, private val direct: RepeatableCalls) {
+    private class Pending(val home: VmId, val sink: MonoSink<ServiceReply>)
 
     private val pending = HashMap<RequestId, Pending>()
 
@@ -37,10 +34,7 @@
         Mono.create { sink -> ctx.loop.run("service_call") { admit(request, sink) } }
 
     /** Handles a message of a home VM; returns whether it was one for callers of services. */
-    fun receive(
-        from: VmId,
-        message: Message,
-    ): Boolean {
+    fun receive(from: VmId, message: Message): Boolean {
         when (message) {
             is Message.ReserveEnd -> {
                 val reply = ServiceReply.Answered(message.status, message.contentType, message.body, message.server)
@@ -60,13 +54,12 @@
     /** The link to [vm] went down: calls that were sent there may have run. */
     fun peerDown(vm: VmId) {
         val lost = pending.filterValues { it.home == vm }.keys
-        lost.forEach { fail(it, RefusalCode.PEER_UNREACHABLE, vm, Certainty.UNKNOWN, "the link to the home VM went down") }
+        lost.forEach {
+            fail(it, RefusalCode.PEER_UNREACHABLE, vm, Certainty.UNKNOWN, "the link to the home VM went down")
+        }
     }
 
-    private fun admit(
-        request: ServiceRequest,
-        sink: MonoSink<ServiceReply>,
-    ) {
+    private fun admit(request: ServiceRequest, sink: MonoSink<ServiceReply>) {
         val manifest = ctx.manifests.current
         val code =
             when {
@@ -80,15 +73,17 @@
         sendHome(request, key, sink)
     }
 
-    private fun sendHome(
-        request: ServiceRequest,
-        key: String,
-        sink: MonoSink<ServiceReply>,
-    ) {
+    private fun sendHome(request: ServiceRequest, key: String, sink: MonoSink<ServiceReply>) {
         val home = OwnershipRanking.home(key, ctx.membership.list.vms)
         if (home == null || !ctx.links.isUp(home)) {
             val peer = home?.value ?: ctx.self.value
-            return refuse(sink, RefusalCode.PEER_UNREACHABLE, Step.FORWARD, peer, "the home VM of the key is unreachable")
+            return refuse(
+                sink,
+                RefusalCode.PEER_UNREACHABLE,
+                Step.FORWARD,
+                peer,
+                "the home VM of the key is unreachable",
+            )
         }
         val span = ctx.traces.start("reserve", SpanKind.SERVER, request.traceparent)
         pending[request.request] = Pending(home, sink)
@@ -103,11 +98,7 @@
         }
     }
 
-    private fun message(
-        request: ServiceRequest,
-        key: String,
-        traceparent: String?,
-    ) = Message.ReserveStart(
+    private fun message(request: ServiceRequest, key: String, traceparent: String?) = Message.ReserveStart(
         request = request.request,
         service = request.service,
         key = key,
@@ -119,31 +110,17 @@
         traceparent = traceparent,
     )
 
-    private fun take(
-        request: RequestId,
-        from: VmId,
-    ): Pending? = pending[request]?.takeIf { it.home == from }?.also { pending.remove(request) }
-
-    private fun fail(
-        request: RequestId,
-        code: RefusalCode,
-        peer: VmId,
-        certainty: Certainty,
-        detail: String,
-    ) {
+    private fun take(request: RequestId, from: VmId): Pending? =
+        pending[request]?.takeIf { it.home == from }?.also { pending.remove(request) }
+
+    private fun fail(request: RequestId, code: RefusalCode, peer: VmId, certainty: Certainty, detail: String) {
         val call = pending.remove(request) ?: return
         val refusal = Refusal(code, Step.RESERVE, peer.value, certainty, detail)
         ctx.metrics.refused(refusal)
         call.sink.success(ServiceReply.Refused(refusal))
     }
 
-    private fun refuse(
-        sink: MonoSink<ServiceReply>,
-        code: RefusalCode,
-        step: Step,
-        peer: String,
-        detail: String,
-    ) {
+    private fun refuse(sink: MonoSink<ServiceReply>, code: RefusalCode, step: Step, peer: String, detail: String) {
         val refusal = Refusal(code, step, peer, Certainty.NOT_RUN, detail)
         ctx.metrics.refused(refusal)
         sink.success(ServiceReply.Refused(refusal))
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/service/ServiceReply.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/service/ServiceReply.kt
@@ -6,12 +6,8 @@
 /** What the caller of a plain service is told. */
 internal sealed class ServiceReply {
     /** The service answered. */
-    class Answered(
-        val status: Int,
-        val contentType: String?,
-        val body: ByteArray,
-        val server: BackendServerId,
-    ) : ServiceReply()
+    class Answered(val status: Int, val contentType: String?, val body: ByteArray, val server: BackendServerId) :
+        ServiceReply()
 
     /** The service did not answer. */
     class Refused(val refusal: Refusal) : ServiceReply()
