Stop and leave without cutting off a request

Cause: an owner that was told to stop went on taking requests of other VMs, so under load it never emptied and would have been cut off at the grace limit; and requests queued on a leaving backend server still started. Now what waits is refused as not run, which its entry VM places elsewhere, and peers learn of the stop at once. An engine whose entry changed keeps its old streams until they end. Credits are sent once per quarter window, not per token.

--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/Node.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/Node.kt
@@ -153,6 +153,7 @@
     private fun peerChanged(vm: VmId, up: Boolean) {
         Logger.info("event=link_{} peer={}", if (up) "up" else "down", vm)
         parts.owners.peerChanged(vm, up)
+        parts.router.stopping(vm, isStopping = false)
         if (up) return parts.entry.peerUp(vm)
         parts.membership.peerLost(vm)
         parts.entry.peerDown(vm)
@@ -163,11 +164,16 @@
         when (message) {
             is Message.Safety -> fleet.receive(from, message.body)
             is Message.Engines -> message.engines.forEach { parts.placement.learn(it, parts.loop.now()) }
-            is Message.Stopping -> Logger.info("event=peer_stopping peer={}", from)
+            is Message.Stopping -> peerStopping(from)
             else -> dispatchCall(from, message)
         }
     }
 
+    private fun peerStopping(vm: VmId) {
+        Logger.info("event=peer_stopping peer={}", vm)
+        parts.router.stopping(vm, isStopping = true)
+    }
+
     private fun dispatchCall(from: VmId, message: Message) {
         val taken =
             parts.owners.receive(from, message) ||
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -121,11 +121,12 @@
             history = history,
             ready = { readiness.reasons().isEmpty() },
         )
+    val router = EntryRouter(entryContext, placement, retries)
     val entry =
         EntryCalls(
             ctx = entryContext,
             limits = AdmissionLimits(SettingsMapping.admission(settings.limits)),
-            router = EntryRouter(entryContext, placement, retries),
+            router = router,
         )
     val services = ServiceCalls(entryContext, RepeatableCalls(entryContext, serviceClient, retries))
     val home =
@@ -154,12 +155,13 @@
     }
 
     /** Requests that callers wait for, or that run here for other VMs. */
-    fun underWay(): Int = entry.size + services.size + home.running + owners.all().sumOf { it.size }
+    fun underWay(): Int = entry.size + services.size + home.running + owners.underWay()
 
     /** Refuses new requests from now on. */
     fun stopAdmitting() {
         entry.stopping = true
         services.stopping = true
+        owners.stop()
     }
 
     fun operatorServer(view: OperatorView) = OperatorServer(settings.operators, view)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryCall.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryCall.kt
@@ -31,12 +31,6 @@
     /** Offset of the next token; all before it were passed on. */
     var next: Int = 0
 
-    /** Tokens that the caller has taken. */
-    var consumed: Int = 0
-
-    /** The last credit sent. */
-    var credited: Int = 0
-
     /** Pairs that refused since the last pause. */
     val avoided: MutableSet<Pair<BackendServerId, VmId>> = mutableSetOf()
 
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryCalls.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryCalls.kt
@@ -23,6 +23,7 @@
     private val router: EntryRouter,
 ) {
     private val calls = HashMap<RequestId, EntryCall>()
+    private val creditStep = (ctx.settings.peers.streamWindowTokens / CREDITS_PER_WINDOW).coerceAtLeast(1)
 
     /** Requests under way. */
     val size: Int get() = calls.size
@@ -36,12 +37,15 @@
         ctx.loop.run("admit") { admit(spec, sink) }
         sink
             .asFlux()
-            .doOnNext {
-                if (it is CallEvent.Token) ctx.loop.run("credit") { consumed(spec.request, it.offset + 1) }
-            }
+            .doOnNext { if (it is CallEvent.Token) taken(spec.request, it.offset + 1) }
             .doOnCancel { ctx.loop.run("cancel") { cancelled(spec.request) } }
     }
 
+    /** Tells the owner now and then how far the caller has read. */
+    private fun taken(request: RequestId, upTo: Int) {
+        if (upTo % creditStep == 0) ctx.loop.run("credit") { consumed(request, upTo) }
+    }
+
     /** What callers are being served. */
     fun running(): List<RunningRequest> = calls.values.map {
         RunningRequest(
@@ -197,11 +201,8 @@
 
     private fun consumed(request: RequestId, upTo: Int) {
         val call = calls[request] ?: return
-        call.consumed = upTo
         val owner = call.owner ?: return
-        if (call.consumed - call.credited < ctx.settings.peers.streamWindowTokens / CREDITS_PER_WINDOW) return
-        call.credited = call.consumed
-        ctx.links.send(owner, Message.GenerateCredit(call.attempt, call.consumed))
+        ctx.links.send(owner, Message.GenerateCredit(call.attempt, upTo))
     }
 
     private fun close(call: EntryCall) {
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryRouter.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryRouter.kt
@@ -24,6 +24,13 @@
     private val placement: Placement,
     private val retries: RetryBudget,
 ) {
+    private val stopping = HashSet<VmId>()
+
+    /** [vm] takes no new work any more, or is back. */
+    fun stopping(vm: VmId, isStopping: Boolean) {
+        if (isStopping) stopping += vm else stopping -= vm
+    }
+
     /** Sends [call] to the owner of the best engine, or to its standby. */
     fun place(call: EntryCall, lose: LoseCall) {
         if (call.done) return
@@ -49,7 +56,6 @@
     fun resume(call: EntryCall, vm: VmId) {
         val server = call.server ?: return
         call.owner = vm
-        call.credited = call.next
         ctx.links.send(vm, Message.GenerateResume(call.attempt, server, call.binding.adapter, call.next, budget(call)))
     }
 
@@ -70,7 +76,7 @@
     }
 
     private fun trySend(call: EntryCall, server: BackendServerId): Boolean {
-        val vm = ranking(server).firstOrNull { (server to it) !in call.avoided && ctx.links.isUp(it) } ?: return false
+        val vm = ranking(server).firstOrNull { mayAsk(call, server, it) } ?: return false
         val start =
             Message.GenerateStart(
                 request = call.attempt,
@@ -91,6 +97,9 @@
         return true
     }
 
+    private fun mayAsk(call: EntryCall, server: BackendServerId, vm: VmId): Boolean =
+        vm !in stopping && (server to vm) !in call.avoided && ctx.links.isUp(vm)
+
     private fun waitAndPlace(call: EntryCall, lose: LoseCall) {
         val refusal = call.lastRefusal ?: nowhere(call)
         val waited = ctx.loop.now() - call.admittedAt
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -5,7 +5,6 @@
 import io.apricotslip.api.id.RequestId
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.manifest.EngineEntry
-import io.apricotslip.api.manifest.ServerState
 import io.apricotslip.api.outcome.Certainty
 import io.apricotslip.api.outcome.Refusal
 import io.apricotslip.api.outcome.RefusalCode
@@ -46,7 +45,7 @@
     var reachable: Boolean = false
         private set
 
-    /** Set once the manifest withdrew the engine or says that it leaves. */
+    /** Set once the manifest withdrew the engine or says that it leaves, or this node stops: nothing new is started. */
     var leaving: Boolean = false
 
     /** Requests that wait or run here. */
@@ -91,7 +90,7 @@
         val role = role()
         if (role != lastRole) roleChanged(role)
         scheduler.orders(allowed = role != Role.None && ctx.membership.leaseHeld(ctx.loop.now()) && reachable)
-        if (role == Role.None || !ctx.membership.leaseHeld(ctx.loop.now())) refuseWaiting()
+        if (leaving || role == Role.None || !ctx.membership.leaseHeld(ctx.loop.now())) refuseWaiting()
         streams.orphanedWaiting().forEach { if (scheduler.cancel(it.request, ctx.loop.now())) streams.drop(it.request) }
         streams.expire()
         pump()
@@ -141,7 +140,7 @@
 
     private fun refusalFor(): RefusalCode? = when {
         role() == Role.None || !ctx.membership.leaseHeld(ctx.loop.now()) -> RefusalCode.NOT_READY
-        engine.state == ServerState.LEAVING || leaving -> RefusalCode.NO_BACKEND_SERVER
+        leaving -> RefusalCode.NO_BACKEND_SERVER
         !reachable -> RefusalCode.NO_BACKEND_SERVER
         else -> null
     }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwners.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwners.kt
@@ -15,6 +15,8 @@
 /** The engines of the manifest, each with the owner object that serves it on this node. Used on the loop. */
 internal class EngineOwners(private val ctx: OwnerContext, private val factory: EngineOwnerFactory) {
     private val owners = LinkedHashMap<BackendServerId, EngineOwner>()
+    private val retired = mutableListOf<EngineOwner>()
+    private var stopping = false
 
     /** Owners by engine. */
     fun all(): Collection<EngineOwner> = owners.values
@@ -26,12 +28,18 @@
         manifest.engines.forEach { entry ->
             val known = owners[entry.id]
             val same = known?.entry()?.let { it.copy(state = entry.state) == entry } == true
+            if (known != null && !same) retire(known)
             val owner = if (same) checkNotNull(known) else factory.create(entry).also { owners[entry.id] = it }
-            owner.leaving = entry.state == ServerState.LEAVING
+            owner.leaving = stopping || entry.state == ServerState.LEAVING
         }
         val gone = owners.keys - manifest.engines.map { it.id }.toSet()
-        gone.forEach { owners.getValue(it).leaving = true }
-        gone.filter { owners.getValue(it).size == 0 }.forEach(owners::remove)
+        gone.forEach { retire(owners.getValue(it)) }
+    }
+
+    /** This node stops: what waits is refused as not run, so that another VM takes it, and what runs is finished. */
+    fun stop() {
+        stopping = true
+        owners.values.forEach { it.leaving = true }
     }
 
     /** Handles a message of an entry VM; returns whether it was one for owners. */
@@ -47,7 +55,10 @@
     }
 
     /** Regular work of all engines. */
-    fun tick(): Unit = owners.values.toList().forEach(EngineOwner::tick)
+    fun tick() {
+        everyOne().forEach(EngineOwner::tick)
+        retired.removeIf { it.size == 0 }
+    }
 
     /** Asks all engines for reports. */
     fun poll(): Unit = owners.values.forEach(EngineOwner::poll)
@@ -56,9 +67,20 @@
     fun statuses(): List<EngineStatus> = owners.values.mapNotNull(EngineOwner::status)
 
     /** A link went up or down. */
-    fun peerChanged(vm: VmId, up: Boolean): Unit = owners.values.forEach { it.peerChanged(vm, up) }
+    fun peerChanged(vm: VmId, up: Boolean): Unit = everyOne().forEach { it.peerChanged(vm, up) }
+
+    /** Requests that wait or run here. */
+    fun underWay(): Int = everyOne().sumOf { it.size }
+
+    private fun everyOne(): List<EngineOwner> = owners.values + retired
+
+    private fun retire(owner: EngineOwner) {
+        owners.remove(owner.entry().id)
+        owner.leaving = true
+        retired += owner
+    }
 
-    private fun holder(request: RequestId): EngineOwner? = owners.values.firstOrNull { it.holds(request) }
+    private fun holder(request: RequestId): EngineOwner? = everyOne().firstOrNull { it.holds(request) }
 
     private fun start(from: VmId, message: Message.GenerateStart) {
         val owner = owners[message.server]
