--- a/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/EngineClient.kt
+++ b/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/EngineClient.kt
@@ -41,8 +41,11 @@
     /** Refused because the engine has seen the fencing number [highest]. */
     public data class StaleFence(public val highest: FenceNumber) : OrderResult()
 
-    /** Refused without effect, as [reason] says: `full`, `not_resident`, `load_failed`, `starting`. */
-    public data class Rejected(public val reason: String) : OrderResult()
+    /**
+     * Refused without effect, as [reason] says: `full`, `not_resident`, `load_failed`, `starting`. Reports from [sequence]
+     * on follow it, where the engine told one.
+     */
+    public data class Rejected(public val reason: String, public val sequence: Long? = null) : OrderResult()
 
     /** No answer; the engine may or may not have obeyed. */
     public data class Unanswered(public val reason: String) : OrderResult()
--- a/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/EngineOrders.kt
+++ b/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/EngineOrders.kt
@@ -60,7 +60,7 @@
             answer.status == HttpBackend.OK && body?.sequence != null -> OrderResult.Done(body.sequence)
             answer.status == CONFLICT && error == "stale_fence" && body.highest != null ->
                 OrderResult.StaleFence(body.highest)
-            error != null && (answer.status to error) in refusals -> OrderResult.Rejected(error)
+            error != null && (answer.status to error) in refusals -> OrderResult.Rejected(error, body.sequence)
             else -> OrderResult.Unanswered("engine answered ${answer.status} ${error.orEmpty()}".trim())
         }
     }
--- /dev/null
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/load/Load.kt
@@ -0,0 +1,59 @@
+package io.apricotslip.bench.load
+
+import com.github.michaelbull.result.getOrElse
+import io.apricotslip.api.manifest.ManifestText
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.multiple
+import kotlinx.cli.required
+import java.io.File
+import kotlin.system.exitProcess
+
+private const val EXIT_USAGE = 2
+private const val EXIT_FAULTS = 1
+
+/** `load`: open-loop load on running nodes. Exit codes: 0, 1 when an answer was wrong, 2 for wrong arguments. */
+public fun main(args: Array<String>) {
+    val parser = ArgParser("load")
+    val targets by parser.option(ArgType.String, "target", description = "Callers' port as HOST:PORT").multiple()
+    val manifest by parser.option(ArgType.String, "manifest", description = "Manifest file").required()
+    val rate by parser.option(ArgType.Double, "rate", description = "Requests a second").default(20.0)
+    val seconds by parser.option(ArgType.Int, "seconds", description = "Length of the run").default(30)
+    val exponent by parser.option(ArgType.Double, "zipf", description = "Exponent of popularity").default(1.0)
+    val deadline by parser.option(ArgType.Int, "deadline-millis", description = "Deadline").default(30_000)
+    val seed by parser.option(ArgType.Int, "seed", description = "Seed").default(1)
+    parser.parse(args)
+    if (targets.isEmpty()) usage("--target is needed")
+    val options =
+        LoadOptions(
+            targets = targets,
+            adapters = adapters(manifest),
+            rate = rate,
+            seconds = seconds,
+            exponent = exponent,
+            deadlineMillis = deadline.toLong(),
+            seed = seed.toLong(),
+        )
+    val result = LoadRun(options).run()
+    print(result, seconds)
+    exitProcess(if (result.faults.isEmpty()) 0 else EXIT_FAULTS)
+}
+
+private fun adapters(file: String): List<String> {
+    val manifest = ManifestText.read(File(file).readText()).getOrElse { usage("$file: ${it.first()}") }
+    return manifest.adapters.map { "${it.id}@${it.default ?: it.versions.first()}" }
+}
+
+private fun print(result: LoadResult, seconds: Int) {
+    val header = listOf("class", "what", "count", "p50 ms", "p95 ms", "p99 ms", "longest ms")
+    (listOf(header) + result.rows()).forEach { println(it.joinToString(" | ", "| ", " |")) }
+    println("ends: ${result.ends}")
+    println("faults: ${result.faults}")
+    println("tokens a second: %.0f".format(result.tokens.get().toDouble() / seconds))
+}
+
+private fun usage(reason: String): Nothing {
+    System.err.println("load: $reason")
+    exitProcess(EXIT_USAGE)
+}
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
@@ -1,8 +1,10 @@
 package io.apricotslip.core.owner
 
 import io.apricotslip.api.history.EventKind
+import io.apricotslip.api.id.AdapterId
 import io.apricotslip.api.id.AdapterVersion
 import io.apricotslip.api.id.FenceNumber
+import io.apricotslip.api.id.VersionId
 import io.apricotslip.api.manifest.FenceCheck
 import io.apricotslip.api.manifest.WhenFull
 import io.apricotslip.backends.engine.EngineClient
@@ -29,6 +31,7 @@
     private val pendingLoads = mutableListOf<PendingEvict>()
 
     private var inFlight = 0
+    private var touching = false
 
     /** Whether an order of this node may not show in a report yet. */
     val underWay: Boolean get() = inFlight > 0 || pending.isNotEmpty() || pendingLoads.isNotEmpty()
@@ -63,13 +66,24 @@
         settle()
     }
 
-    /** An order without effect, whose answer puts later reports after this moment. */
-    fun touch(resident: AdapterVersion) {
+    /**
+     * Gives an order without effect, whose answer puts later reports after this moment: loads a [resident] adapter
+     * again, or evicts one that no engine has.
+     */
+    fun touch(resident: AdapterVersion?) {
+        if (touching) return
+        touching = true
         val mark = ctx.guard.orderGiven(server)
-        client.load(resident, nextFence()).publishOn(ctx.loop.scheduler).subscribe { result ->
+        val order = if (resident != null) client.load(resident, nextFence()) else client.evict(NOBODYS, nextFence())
+        order.publishOn(ctx.loop.scheduler).subscribe { result ->
+            touching = false
             ctx.metrics.ordered("touch", label(result))
-            if (result is OrderResult.Done) acknowledged(mark, result.sequence)
-            if (result is OrderResult.StaleFence) advise(result)
+            when (result) {
+                is OrderResult.Done -> acknowledged(mark, result.sequence)
+                is OrderResult.Rejected -> result.sequence?.let { acknowledged(mark, it) }
+                is OrderResult.StaleFence -> advise(result)
+                is OrderResult.Unanswered -> Unit
+            }
             changed()
         }
     }
@@ -232,5 +246,6 @@
         const val CONSENT_TIMEOUT_NANOS = 1_000_000_000L
         const val MAX_FENCE_RETRIES = 3
         const val NOT_RESIDENT = "not_resident"
+        val NOBODYS = AdapterVersion(AdapterId("none"), VersionId("none"))
     }
 }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -36,7 +36,6 @@
     private val streams = OwnerStreams(ctx, client, ::ended)
     private var incarnation: Long? = null
     private var wake: Disposable? = null
-    private var touched = false
     private var lastRole: Role = Role.None
     private var pumping = false
     private var pumpAgain = false
@@ -195,7 +194,6 @@
     private fun roleChanged(role: Role) {
         Logger.info("event=role_changed peer={} from={} to={}", engine.id, lastRole, role)
         lastRole = role
-        touched = false
         if (role != Role.None) poll()
     }
 
@@ -223,7 +221,7 @@
         reachable = true
         ctx.guard.reported(engine.id, Incarnation(report.incarnation), report.sequence, report.running())
         scheduler.foreignUse(ctx.guard.foreignUse(engine.id), now)
-        if (!touched && role() != Role.None) touch(resident.firstOrNull())
+        if (mustTouch(now)) orders.touch(resident.firstOrNull())
         pump()
     }
 
@@ -245,15 +243,14 @@
         gone.forEach { scheduler.evicted(it, now) }
         val new = resident - scheduler.residents
         new.forEach { scheduler.loaded(it, now) }
-        if (gone.isNotEmpty() || new.isNotEmpty()) {
+        if (role() == Role.Owner && gone.size + new.size > 0) {
             Logger.info("event=residents_corrected peer={} gone={} new={}", engine.id, gone.size, new.size)
         }
     }
 
-    private fun touch(resident: AdapterVersion?) {
-        touched = true
-        if (resident != null) orders.touch(resident)
-    }
+    /** Whether reports cannot be told to follow the former owner's orders yet. */
+    private fun mustTouch(now: Long): Boolean =
+        role() == Role.Owner && ctx.membership.leaseHeld(now) && !ctx.guard.olderOrdersShutOut(engine.id)
 
     private fun scheduleWake(at: Long, now: Long) {
         wake?.dispose()
