--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standins.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standins.kt
@@ -71,8 +71,10 @@
     }
 
     private fun startOne(settings: StandinSettings): RunningStandin {
-        val service = service(settings, Loop(scheduler, Ticker.System))
-        service.server.start(service.serviceRoutes(), service.adminRoutes())
+        val loop = Loop(scheduler, Ticker.System)
+        val service = service(settings, loop)
+        val controls = CommonControls(settings.id, service.server, loop).routes()
+        service.server.start(service.serviceRoutes(), service.adminRoutes() + controls)
         return RunningStandin(settings.id, service)
     }
 
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/Batch.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/Batch.kt
@@ -103,6 +103,6 @@
         val millis = settings.speed.prefillMillisPerThousandChars * chars / CHARS_PER_PREFILL_UNIT
         if (coldRequestsLeft == 0) return millis
         coldRequestsLeft--
-        return millis * settings.speed.coldFactor
+        return millis + settings.speed.coldMillis
     }
 }
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/WeightSource.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/engine/WeightSource.kt
@@ -1,6 +1,7 @@
 package io.apricotslip.standins.engine
 
 import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.standins.http.httpThreads
 import io.apricotslip.standins.http.wireJson
 import io.apricotslip.standins.loop.Loop
 import io.apricotslip.standins.settings.LoadSettings
@@ -34,6 +35,7 @@
         private val address = requireNotNull(settings.store)
         private val client = HttpClient
             .create(ConnectionProvider.create("store-$engine", MAX_CONNECTIONS))
+            .runOn(httpThreads)
             .host(address.address)
             .port(address.port)
             .responseTimeout(Duration.ofMillis(settings.timeoutMillis))
--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/ListenSettings.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/settings/ListenSettings.kt
@@ -2,6 +2,7 @@
 
 import io.apricotslip.api.json.RuleFault
 import kotlinx.serialization.Serializable
+import java.io.File
 
 private const val LOOPBACK = "127.0.0.1"
 
@@ -47,6 +48,8 @@
         address("address", address)
         port("port", port)
         nested("admin", admin)
+        val folder = historyFile?.let { File(it).absoluteFile.parentFile }
+        require("historyFile", folder == null || folder.isDirectory, "'$folder' is not a folder")
         require("admin.port", port == 0 || port != admin.port, "must differ from port", listOf("port"))
     }
 }
