Run the real daemons and stand-ins as processes: the whole path

Cluster starts the stand-ins and three nodes on free ports; links between nodes and the ways to the platform go through fault relays. The caller client records what it asked for and got; the checkers judge the joined histories.

--- a/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.apricotslip.e2e
-
-internal const val MODULE = "apricotslip-e2e"
--- /dev/null
+++ b/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/caller/AnswerHeaders.kt
@@ -0,0 +1,24 @@
+package io.apricotslip.e2e.caller
+
+import io.apricotslip.api.id.AdapterId
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.VersionId
+import io.netty.handler.codec.http.HttpHeaders
+
+/** What an answer says of who made it. */
+internal data class AnswerHeaders(val adapter: AdapterVersion?, val revision: Long?) {
+    companion object {
+        fun of(headers: HttpHeaders): AnswerHeaders {
+            val adapter = headers["X-Apricotslip-Adapter"]
+            val version = headers["X-Apricotslip-Version"]
+            val both = if (adapter == null ||
+                version == null
+            ) {
+                null
+            } else {
+                AdapterVersion(AdapterId(adapter), VersionId(version))
+            }
+            return AnswerHeaders(both, headers["X-Apricotslip-Revision"]?.toLongOrNull())
+        }
+    }
+}
--- /dev/null
+++ b/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/cluster/RunDirectory.kt
@@ -0,0 +1,13 @@
+package io.apricotslip.e2e.cluster
+
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Directories for settings, logs and histories of runs; they are kept until the next run of the same name. */
+internal object RunDirectory {
+    fun of(name: String): Path {
+        val directory = Path.of("target", "e2e", name).toAbsolutePath()
+        directory.toFile().deleteRecursively()
+        return Files.createDirectories(directory)
+    }
+}
--- a/apricotslip-test-utils/src/main/kotlin/io/apricotslip/testutils/process/Daemon.kt
+++ b/apricotslip-test-utils/src/main/kotlin/io/apricotslip/testutils/process/Daemon.kt
@@ -22,12 +22,15 @@
     /** Whether the process runs; a frozen one does. */
     public val isAlive: Boolean get() = process.isAlive
 
-    /** Groups of the ready line, after the whole of it; waits until the line is there. */
-    public fun awaitReady(): List<String> {
+    /** Groups of the ready line, without the whole of it; waits until the line is there. */
+    public fun awaitReady(): List<String> = awaitReady(count = 1).first()
+
+    /** Groups of the first [count] ready lines; waits until they are there. */
+    public fun awaitReady(count: Int): List<List<String>> {
         val until = System.nanoTime() + spec.startLimit.toNanos()
         while (true) {
-            val line = Files.readAllLines(out).firstNotNullOfOrNull(spec.ready::matchEntire)
-            if (line != null) return line.groupValues.drop(1)
+            val lines = Files.readAllLines(out).mapNotNull(spec.ready::matchEntire)
+            if (lines.size >= count) return lines.take(count).map { it.groupValues.drop(1) }
             check(process.isAlive) { "$name ended with ${process.exitValue()} before it was ready: ${tail()}" }
             check(System.nanoTime() < until) { "$name was not ready within ${spec.startLimit}: ${tail()}" }
             Thread.sleep(POLL_MILLIS)
--- a/apricotslip-test-utils/src/main/kotlin/io/apricotslip/testutils/relay/FaultRelay.kt
+++ b/apricotslip-test-utils/src/main/kotlin/io/apricotslip/testutils/relay/FaultRelay.kt
@@ -14,10 +14,13 @@
  *
  * Faults act on all connections, or with a `source` on those whose first bytes [source] recognises.
  *
+ * @property target where new connections go; may change when the process behind it is replaced.
  * @param source name of the side that opened a connection, from its first bytes; null when unknown.
  */
-public class FaultRelay(private val target: InetSocketAddress, private val source: (ByteArray) -> String? = { null }) :
-    AutoCloseable {
+public class FaultRelay(
+    @Volatile public var target: InetSocketAddress,
+    private val source: (ByteArray) -> String? = { null },
+) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val connections = CopyOnWriteArrayList<RelayConnection>()
     private val rules = CopyOnWriteArrayList<Rule>()
