--- a/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/cluster/ClusterOptions.kt
+++ b/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/cluster/ClusterOptions.kt
@@ -26,5 +26,5 @@
     val adapters: List<String> = listOf("plans", "notes"),
     val listLagMillis: Long = 0,
     val stepMillis: Int = 10,
-    val tune: (NodeSettings) -> NodeSettings = { it.copy(logs = io.apricotslip.settings.LogSettings("debug")) },
+    val tune: (NodeSettings) -> NodeSettings = { it },
 )
