--- a/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/EngineClient.kt
+++ b/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/engine/EngineClient.kt
@@ -41,8 +41,11 @@
     /** Refused because the engine has seen the fencing number [highest]. */
     public data class StaleFence(public val highest: FenceNumber) : OrderResult()
 
-    /** Refused without effect, as [reason] says: `full`, `not_resident`, `load_failed`, `starting`. */
-    public data class Rejected(public val reason: String) : OrderResult()
+    /**
+     * Refused without effect, as [reason] says: `full`, `not_resident`, `load_failed`, `starting`. Reports from [sequence]
+     * on follow it, where the engine told one.
+     */
+    public data class Rejected(public val reason: String, public val sequence: Long? = null) : OrderResult()
 
     /** No answer; the engine may or may not have obeyed. */
     public data class Unanswered(public val reason: String) : OrderResult()
@@ -75,7 +78,10 @@
     /** The engine. */
     public val engine: EngineEntry
 
-    /** Starts a request. Fails with [EngineException]. Cancelling the subscription cancels the request there. */
+    /**
+     * Starts a request. Fails with [EngineException]. Cancelling the subscription only closes the connection: the
+     * engine goes on for a while, so that another VM can [resume]; [cancel] ends it.
+     */
     public fun generate(request: EngineRequest): Flux<EngineEvent>
 
     /** Streams the answer of [request] again from token [from]. */
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/LinkOptions.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/LinkOptions.kt
@@ -4,7 +4,7 @@
  * Limits and times of the links between nodes.
  *
  * @property heartbeatMillis time between the pings that each side sends.
- * @property silentMillis time without a byte from the peer after which a link is closed; must exceed several heartbeats.
+ * @property silentMillis time without a byte from the peer after which a link is closed; several heartbeats.
  * @property connectMillis limit on opening a connection, and on exchanging the hellos.
  * @property reconnectMillis first delay before a lost link is opened again; doubles with each failure.
  * @property maxReconnectMillis longest such delay.
