--- a/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/http/HttpBackend.kt
+++ b/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/http/HttpBackend.kt
@@ -24,39 +24,45 @@
     acquireMillis: Long,
     connectMillis: Int,
 ) : AutoCloseable {
-    private val provider: ConnectionProvider = ConnectionProvider.builder(name)
+    private val limits = ConnectionProvider.builder(name)
         .maxConnections(maxConnections)
         .pendingAcquireMaxCount(maxWaiting)
         .pendingAcquireTimeout(Duration.ofMillis(acquireMillis))
-        .maxIdleTime(MAX_IDLE)
-        .build()
 
-    private val client: HttpClient = HttpClient.create(provider)
-        .disableRetry(true)
-        .followRedirect(false)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
-        .option(ChannelOption.TCP_NODELAY, true)
+    private val shared = limits.name("$name-shared").maxIdleTime(MAX_IDLE).build()
+
+    /** Keeps no connection after its call, whatever the backend server says of keeping it. */
+    private val single = limits.name("$name-single").evictionPredicate { _, use -> use.acquireCount() > 0 }.build()
+
+    private val sharedClient = client(shared, connectMillis)
+    private val singleClient = client(single, connectMillis).keepAlive(false)
 
     /** Makes [call] and streams what [receive] makes of the answer. */
     fun stream(
         call: HttpCall,
         attempt: Attempt,
         receive: (HttpClientResponse, ByteBufFlux) -> Flux<String>,
-    ): Flux<String> = client.prepare(call, attempt).response { response, content -> receive(response, content) }
+    ): Flux<String> = prepare(call, attempt).response { response, content -> receive(response, content) }
 
     /** Makes [call] and collects an answer of at most [maxBytes], within [millis]. */
-    fun whole(call: HttpCall, attempt: Attempt, maxBytes: Int, millis: Long): Mono<WholeAnswer> = client
-        .prepare(call, attempt)
+    fun whole(call: HttpCall, attempt: Attempt, maxBytes: Int, millis: Long): Mono<WholeAnswer> = prepare(call, attempt)
         .response { response, content -> collect(response, content, maxBytes) }
         .next()
         .timeout(Duration.ofMillis(millis), Mono.error { SilentException(millis) })
 
     override fun close() {
-        provider.dispose()
+        shared.dispose()
+        single.dispose()
     }
 
-    private fun HttpClient.prepare(call: HttpCall, attempt: Attempt): HttpClient.ResponseReceiver<*> =
-        keepAlive(call.shared)
+    private fun client(provider: ConnectionProvider, connectMillis: Int): HttpClient = HttpClient.create(provider)
+        .disableRetry(true)
+        .followRedirect(false)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+        .option(ChannelOption.TCP_NODELAY, true)
+
+    private fun prepare(call: HttpCall, attempt: Attempt): HttpClient.ResponseReceiver<*> =
+        (if (call.shared) sharedClient else singleClient)
             .request(call.method)
             .uri(call.url)
             .send { request, outbound -> send(call, attempt, request, outbound) }
--- /dev/null
+++ b/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/engine/OrdersTest.kt
@@ -0,0 +1,112 @@
+package io.apricotslip.backends.engine
+
+import io.apricotslip.api.id.FenceNumber
+import io.apricotslip.api.outcome.Certainty
+import io.apricotslip.backends.http.RawServer
+import io.apricotslip.backends.http.RawServer.Companion.answer
+import io.apricotslip.backends.http.RawServer.Companion.say
+import io.apricotslip.backends.http.freePort
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectCatching
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFailure
+import java.net.Socket
+
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class OrdersTest {
+    private val quick =
+        EngineClientOptions(loadMillis = 300, orderMillis = 300, reportMillis = 300, maxAnswerBytes = 500)
+    private val unanswered = OrderResult.Unanswered("")
+
+    private fun evict(port: Int) = client(port, quick).evict(adapter, FenceNumber(7)).block()
+
+    @TestFactory
+    fun `an order ends as the engine says, and as unanswered in doubt`() =
+        listOf<Triple<String, OrderResult, Socket.() -> Unit>>(
+            Triple("done", OrderResult.Done(9)) { answer(200, """{"sequence":9}""") },
+            Triple("stale", OrderResult.StaleFence(FenceNumber(8))) {
+                answer(409, """{"error":"stale_fence","highest":8}""")
+            },
+            Triple("full", OrderResult.Rejected("full")) { answer(409, """{"error":"full"}""") },
+            Triple("not resident", OrderResult.Rejected("not_resident", sequence = 3)) {
+                answer(404, """{"error":"not_resident","sequence":3}""")
+            },
+            Triple("load failed", OrderResult.Rejected("load_failed")) { answer(502, """{"error":"load_failed"}""") },
+            Triple("starting", OrderResult.Rejected("starting")) { answer(503, """{"error":"starting"}""") },
+            Triple("stale without the highest", unanswered) { answer(409, """{"error":"stale_fence"}""") },
+            Triple("done without a sequence", unanswered) { answer(200, "{}") },
+            Triple("no JSON", unanswered) { answer(200, "ok") },
+            Triple("a known word under another status", unanswered) { answer(500, """{"error":"full"}""") },
+            Triple("unknown route", unanswered) { answer(404, "") },
+            Triple("an answer too long", unanswered) { answer(200, """{"sequence":9}""" + " ".repeat(1_000)) },
+            Triple("half an answer", unanswered) {
+                say("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"seq").also { close() }
+            },
+            Triple("closed", unanswered) { close() },
+            Triple("silent", unanswered) { },
+        ).map { (name, expected, act) ->
+            DynamicTest.dynamicTest(name) {
+                RawServer { socket, _ -> socket.act() }.use { server ->
+                    val result = evict(server.port)
+                    if (expected === unanswered) {
+                        expectThat(result).isA<OrderResult.Unanswered>()
+                    } else {
+                        expectThat(result).isEqualTo(expected)
+                    }
+                    expectThat(server.requests).hasSize(1)
+                }
+            }
+        }
+
+    @Test
+    fun `an order that never left is rejected`() {
+        expectThat(evict(freePort())).isEqualTo(OrderResult.Rejected("not_sent"))
+    }
+
+    @Test
+    fun `a load carries the adapter and the fencing number`() {
+        val server = RawServer { socket, _ -> socket.answer(200, """{"sequence":1}""") }
+        server.use { client(it.port).load(adapter, FenceNumber(7)).block() }
+        expectThat(server.requests.single().body).isEqualTo("""{"adapter":"club","version":"3","fence":7}""")
+    }
+
+    @Nested
+    inner class `a report` {
+        @Test
+        fun `is read with the adapters and what runs on them`() {
+            val body = """{"sequence":5,"incarnation":2,"slots":8,"batch":8,"running":1,"queued":0,"fence":7,
+                "adapters":[{"adapter":"club","version":"3","running":1,"state":"resident"}]}"""
+            val report = RawServer { socket, _ -> socket.answer(200, body) }.use { client(it.port).report().block() }
+            expectThat(report).isEqualTo(
+                EngineReport(5, 2, slots = 8, running = 1, FenceNumber(7), listOf(ReportedAdapter(adapter, 1, true))),
+            )
+        }
+
+        @TestFactory
+        fun `that can't be had fails with the engine named`() = listOf<Pair<String, Socket.() -> Unit>>(
+            "status" to { answer(500, "{}") },
+            "no JSON" to { answer(200, "x") },
+            "a field left out" to { answer(200, """{"sequence":5}""") },
+            "closed" to { close() },
+            "silent" to { },
+        ).map { (name, act) ->
+            DynamicTest.dynamicTest(name) {
+                RawServer { socket, _ -> socket.act() }.use { server ->
+                    expectCatching {
+                        client(server.port, quick).report().block()
+                    }.isFailure().isA<EngineException>().and {
+                        get { refusal.peer }.isEqualTo("e1")
+                        get { refusal.certainty }.isEqualTo(Certainty.UNKNOWN)
+                    }
+                }
+            }
+        }
+    }
+}
--- a/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/http/RawServer.kt
+++ b/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/http/RawServer.kt
@@ -5,6 +5,8 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 /** Server that answers each connection with [answer], byte by byte as the test wants; records the requests. */
@@ -14,12 +16,21 @@
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
     private val open = CopyOnWriteArrayList<Socket>()
     val requests = CopyOnWriteArrayList<Request>()
+    private val arrived = LinkedBlockingQueue<Request>()
     val port: Int get() = server.localPort
 
     init {
         thread(isDaemon = true) { acceptAll() }
     }
 
+    /** The first request that is [wanted], waiting for it. */
+    fun next(wanted: (Request) -> Boolean): Request {
+        while (true) {
+            val request = checkNotNull(arrived.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)) { "no such request" }
+            if (wanted(request)) return request
+        }
+    }
+
     override fun close() {
         server.close()
         open.forEach { it.close() }
@@ -37,6 +48,7 @@
         while (true) {
             val request = read(socket.getInputStream()) ?: return
             requests += request
+            arrived += request
             answer(socket, request)
         }
     }
@@ -62,6 +74,9 @@
     companion object {
         private const val BACKLOG = 50
 
+        /** Long enough that only a hang reaches it. */
+        private const val PATIENCE_SECONDS = 30L
+
         /** Writes [text] and flushes. */
         fun Socket.say(text: String) {
             getOutputStream().write(text.encodeToByteArray())
@@ -79,3 +94,6 @@
         }
     }
 }
+
+/** A port on which nothing listens. */
+internal fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- a/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/service/HttpServiceClientTest.kt
+++ b/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/service/HttpServiceClientTest.kt
@@ -4,25 +4,126 @@
 import io.apricotslip.api.id.ZoneId
 import io.apricotslip.api.manifest.ReplicaEntry
 import io.apricotslip.api.outcome.Outcome
+import io.apricotslip.api.outcome.RefusalCode
 import io.apricotslip.backends.http.RawServer
 import io.apricotslip.backends.http.RawServer.Companion.answer
+import io.apricotslip.backends.http.RawServer.Companion.say
+import io.apricotslip.backends.http.freePort
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
 import strikt.assertions.get
+import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import java.net.Socket
 
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class HttpServiceClientTest {
+    private val quick = ServiceClientOptions(timeoutMillis = 300, maxAnswerBytes = 500)
+
     private fun replica(port: Int) = ReplicaEntry(BackendServerId("b1"), ZoneId("z"), "127.0.0.1", port)
 
-    private fun reservation() =
-        ServiceCall("POST", "/v1/reservations", "application/json", "{}".encodeToByteArray(), "key-1")
+    private fun reservation(path: String = "/v1/reservations", method: String = "POST", key: String = "key-1") =
+        ServiceCall(method, path, "application/json", "{}".encodeToByteArray(), key)
+
+    private fun call(port: Int, call: ServiceCall = reservation(), options: ServiceClientOptions = quick) =
+        HttpServiceClient(options).use { it.call(replica(port), call).block() }
+
+    @Nested
+    inner class `a call that was answered whole` {
+        @Test
+        fun `is completed and its key passed on`() {
+            val server = RawServer { socket, _ -> socket.answer(201, """{"reservation":"x"}""") }
+            val outcome = server.use { call(it.port) }
+            expectThat(outcome).isA<Outcome.Completed<ServiceAnswer>>().get { value.status }.isEqualTo(201)
+            expectThat(server.requests.single().headers).get("idempotency-key").isEqualTo("key-1")
+            expectThat(server.requests.single().body).isEqualTo("{}")
+        }
+
+        @Test
+        fun `is completed whatever its status`() {
+            val outcome = RawServer { socket, _ -> socket.answer(503, "busy") }.use { call(it.port) }
+            expectThat(outcome).isA<Outcome.Completed<ServiceAnswer>>().get {
+                value.body.decodeToString()
+            }.isEqualTo("busy")
+        }
+    }
+
+    @Nested
+    inner class `a call that was sent and not answered whole` {
+        @TestFactory
+        fun `is unknown and never sent again`() = listOf<Pair<String, Socket.() -> Unit>>(
+            "closed without an answer" to { close() },
+            "closed within the status" to { say("HTTP/1.1 20").also { close() } },
+            "closed within the body" to { say("HTTP/1.1 201 X\r\nContent-Length: 9\r\n\r\n{").also { close() } },
+            "an answer that is no HTTP" to { say("hello\r\n\r\n").also { close() } },
+            "an answer too long" to { answer(201, "x".repeat(501)) },
+            "silent" to { },
+            "silent within the body" to { say("HTTP/1.1 201 X\r\nContent-Length: 9\r\n\r\n{") },
+        ).map { (name, act) ->
+            DynamicTest.dynamicTest(name) {
+                RawServer { socket, _ -> socket.act() }.use { server ->
+                    expectThat(call(server.port)).isA<Outcome.Unknown>().get { refusal.peer }.isEqualTo("b1")
+                    expectThat(server.requests).hasSize(1)
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class `a call that never left is not run` {
+        @Test
+        fun `when nothing listens there`() {
+            expectThat(call(freePort())).isA<Outcome.NotRun>()
+        }
+
+        @Test
+        fun `when it waits in vain for a connection`() {
+            val options = ServiceClientOptions(maxConnections = 1, acquireMillis = 100)
+            RawServer { _, _ -> }.use { server ->
+                val client = HttpServiceClient(options)
+                client.call(replica(server.port), reservation()).subscribe()
+                server.next { true }
+                expectThat(client.call(replica(server.port), reservation()).block()).isA<Outcome.NotRun>()
+                expectThat(server.requests).hasSize(1)
+            }
+        }
+
+        @TestFactory
+        fun `when it can't be written as HTTP`() = listOf(
+            "path with a line end" to reservation(path = "/v1/x HTTP/1.1\r\nX: y"),
+            "path to another host" to reservation(path = "@10.0.0.1/x"),
+            "method with a blank" to reservation(method = "GET /"),
+            "key with a line end" to reservation(key = "a\r\nX: y"),
+        ).map { (name, call) ->
+            DynamicTest.dynamicTest(name) {
+                RawServer { socket, _ -> socket.answer(200, "") }.use { server ->
+                    val outcome = call(server.port, call)
+                    expectThat(outcome).isA<Outcome.NotRun>().get { refusal.code }.isEqualTo(RefusalCode.BAD_REQUEST)
+                    expectThat(server.requests).hasSize(0)
+                }
+            }
+        }
+    }
 
     @Test
-    fun `an answered call is completed and its key passed on`() {
-        val server = RawServer { socket, _ -> socket.answer(201, """{"reservation":"x"}""") }
-        val outcome = server.use { HttpServiceClient().call(replica(it.port), reservation()).block() }
-        expectThat(outcome).isA<Outcome.Completed<ServiceAnswer>>().get { value.status }.isEqualTo(201)
-        expectThat(server.requests.single().headers).get("idempotency-key").isEqualTo("key-1")
+    fun `calls that may not be repeated never share a connection`() {
+        val sockets = mutableSetOf<Socket>()
+        val server = RawServer { socket, _ ->
+            sockets += socket
+            socket.answer(201, "")
+        }
+        server.use {
+            HttpServiceClient(quick).use { client ->
+                repeat(3) { client.call(replica(server.port), reservation()).block() }
+            }
+        }
+        expectThat(sockets).hasSize(3)
+        expectThat(server.requests.first().headers["connection"]).isNotNull().isEqualTo("close")
     }
 }
--- a/apricotslip-wire/src/test/kotlin/io/apricotslip/wire/Messages.kt
+++ b/apricotslip-wire/src/test/kotlin/io/apricotslip/wire/Messages.kt
@@ -29,7 +29,7 @@
     fun all(): List<Message> = safety().map { Message.Safety(it) } + work() + listOf(
         Message.Engines(several { status() }),
         Message.TokenLoan(random.nextDouble()),
-        Message.TokenAsk(random.nextDouble()),
+        Message.TokenAsk(random.nextDouble(), count()),
         Message.Stopping,
     )
 
