--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/RunResult.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/RunResult.kt
@@ -42,17 +42,14 @@
 ) {
     private val measured = records.filter { it.arrivedAt >= scenario.warmUp }
 
-    /** Tokens made for each token that all engines could have made at full batch while deferrable work was outstanding. */
+    /** Part of the tokens that all engines could have made at full batch while deferrable work was outstanding. */
     val efficiency: Double get() = backlogTokens / (backlogSeconds * scenario.deployment.capacity)
 
     fun stalls(workClass: WorkClass): Percentiles =
         Percentiles.of(measured.filter { it.workClass == workClass }.map { stall(it) })
 
-    fun waits(workClass: WorkClass): Percentiles = Percentiles.of(
-        measured.filter {
-            it.workClass == workClass
-        }.map { minOf(it.startedAt, until(it)) - it.arrivedAt },
-    )
+    fun waits(workClass: WorkClass): Percentiles =
+        Percentiles.of(measured.filter { it.workClass == workClass }.map { startedOrEnded(it) - it.arrivedAt })
 
     fun refused(): Int = measured.count { it.ending == Ending.REFUSED }
 
--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/load/Load.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/load/Load.kt
@@ -7,6 +7,7 @@
 import kotlinx.cli.default
 import kotlinx.cli.multiple
 import kotlinx.cli.required
+import org.tinylog.configuration.Configuration
 import java.io.File
 import kotlin.system.exitProcess
 
@@ -15,6 +16,9 @@
 
 /** `load`: open-loop load on running nodes. Exit codes: 0, 1 when an answer was wrong, 2 for wrong arguments. */
 public fun main(args: Array<String>) {
+    Configuration.set("writer", "console")
+    Configuration.set("writer.stream", "err")
+    Configuration.set("level", "error")
     val parser = ArgParser("load")
     val targets by parser.option(ArgType.String, "target", description = "Callers' port as HOST:PORT").multiple()
     val manifest by parser.option(ArgType.String, "manifest", description = "Manifest file").required()
--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/report/SvgPlot.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/report/SvgPlot.kt
@@ -10,8 +10,7 @@
         val rows = listOf(report.bound) + report.rows
         val height = TOP + rows.size * ROW + BOTTOM
         val lines = ArrayList<String>()
-        lines +=
-            """<svg xmlns="http://www.w3.org/2000/svg" width="$WIDTH" height="$height" font-family="sans-serif" font-size="12">"""
+        lines += """<svg xmlns="http://www.w3.org/2000/svg" width="$WIDTH" height="$height" $FONT>"""
         lines += """<rect width="100%" height="100%" fill="white"/>"""
         lines += text(LEFT, BAR, report.title + ": interactive load stall, p50, p95 and p99")
         for (decade in 1..DECADES) lines += gridLine(decade, height)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/Node.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/Node.kt
@@ -1,9 +1,11 @@
 package io.apricotslip.core
 
 import io.apricotslip.api.fleet.VmList
+import io.apricotslip.api.id.BackendServerId
 import io.apricotslip.api.id.Incarnation
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.manifest.Manifest
+import io.apricotslip.api.peer.EngineStatus
 import io.apricotslip.core.fleet.FleetDispatcher
 import io.apricotslip.core.operators.NodeView
 import io.apricotslip.platform.PublishedValue
@@ -31,6 +33,8 @@
     private var callers: DisposableServer? = null
     private var operators: DisposableServer? = null
     private var stopping = false
+    private val toldStatuses = HashMap<BackendServerId, EngineStatus>()
+    private var statusesToldAt = 0L
 
     /** Starts all roles; returns the ports in use. */
     public fun start(): NodePorts {
@@ -124,11 +128,17 @@
         parts.links.send(parts.guard.retryAsks(parts.loop.now()))
     }
 
+    /** Tells what changed at once, and everything now and then for peers that missed it. */
     private fun shareStatuses() {
+        val now = parts.loop.now()
         val statuses = parts.owners.statuses()
-        if (statuses.isEmpty()) return
-        statuses.forEach { parts.placement.learn(it, parts.loop.now()) }
-        parts.links.broadcast(Message.Engines(statuses))
+        statuses.forEach { parts.placement.learn(it, now) }
+        val all = now - statusesToldAt > FULL_STATUS_NANOS
+        val due = if (all) statuses else statuses.filter { it != toldStatuses[it.server] }
+        if (due.isEmpty()) return
+        if (all) statusesToldAt = now
+        due.forEach { toldStatuses[it.server] = it }
+        parts.links.broadcast(Message.Engines(due))
     }
 
     private fun manifestChanged(manifest: Manifest) {
@@ -190,6 +200,7 @@
         const val OWNER_TICK_MILLIS = 50L
         const val REPORT_MILLIS = 250L
         const val STATUS_MILLIS = 200L
+        const val FULL_STATUS_NANOS = 2_000_000_000L
         const val TOKEN_TICK_MILLIS = 20L
         const val STOP_CHECK_MILLIS = 50L
         val CLOSE_TIMEOUT: Duration = Duration.ofSeconds(2)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -30,6 +30,7 @@
 import io.apricotslip.rules.limits.RetryBudget
 import io.apricotslip.rules.placement.AdapterPlacement
 import io.apricotslip.rules.placement.Placement
+import io.apricotslip.rules.placement.PlacementOptions
 import io.apricotslip.safety.EvictGuard
 import io.apricotslip.safety.FenceCounter
 import io.apricotslip.safety.Membership
@@ -79,7 +80,7 @@
     val manifests = ManifestKeeper(loop, history)
     val readiness = Readiness(self, loop, membership, manifests)
     val shares = StoreShares(self, loop, links)
-    val placement: Placement = AdapterPlacement(SettingsMapping.placement(settings.policy), random)
+    val placement: Placement = AdapterPlacement(PlacementOptions(), random)
     private val retries = RetryBudget(settings.limits.retryBudgetRatio)
     private val serviceClient = HttpServiceClient(ServiceClientOptions())
 
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/SettingsMapping.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/SettingsMapping.kt
@@ -5,7 +5,6 @@
 import io.apricotslip.rules.engine.SchedulerGoal
 import io.apricotslip.rules.engine.SchedulerOptions
 import io.apricotslip.rules.limits.AdmissionOptions
-import io.apricotslip.rules.placement.PlacementOptions
 import io.apricotslip.settings.Goal
 import io.apricotslip.settings.LimitSettings
 import io.apricotslip.settings.PeerSettings
@@ -44,8 +43,6 @@
         deferrableMaxWaitMillis = policy.deferrableMaxWaitMillis,
     )
 
-    fun placement(s: PolicySettings) = PlacementOptions(candidates = s.candidates)
-
     fun admission(s: LimitSettings) = AdmissionOptions(
         perCustomer = s.perCustomer,
         interactive = s.interactive,
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/StoreShares.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/StoreShares.kt
@@ -6,7 +6,9 @@
 import io.apricotslip.core.link.Links
 import io.apricotslip.core.loop.NodeLoop
 import io.apricotslip.rules.store.LoadUrgency
+import io.apricotslip.rules.store.LoanAsk
 import io.apricotslip.rules.store.StoreBudget
+import io.apricotslip.rules.store.StoreDemand
 import io.apricotslip.rules.store.StoreShare
 import io.apricotslip.wire.Message
 
@@ -20,7 +22,6 @@
     private var part = 0.0
     private var share: StoreShare? = null
     private var peers: List<VmId> = emptyList()
-    private var turn = 0
 
     /** Follows the manifest's statement of the store. */
     fun follow(store: StoreEntry) {
@@ -44,12 +45,11 @@
         share?.resize(part, loop.now())
     }
 
-    /** Asks one peer after the other for loads that this node lacks. */
+    /** Asks the peers for loads that this node lacks. */
     fun tick() {
-        val wanted = share?.wanted(loop.now()) ?: return
-        if (wanted <= 0.0 || peers.isEmpty()) return
-        val urgency = share?.urgency(loop.now()) ?: return
-        links.send(peers[turn++ % peers.size], Message.TokenAsk(wanted, urgency.ordinal))
+        val ask = share?.ask(loop.now()) ?: return
+        val message = Message.TokenAsk(ask.wanted, ask.urgency.ordinal, ask.waitedMillis)
+        peers.forEach { links.send(it, message) }
     }
 
     /** Handles a message about loans; returns whether it was one. */
@@ -64,7 +64,11 @@
 
     override fun tryTake(now: Long): Boolean = share?.tryTake(now) ?: false
 
-    override fun tryTake(now: Long, urgency: LoadUrgency): Boolean = share?.tryTake(now, urgency) ?: false
+    override fun tryTake(now: Long, demand: StoreDemand): Boolean = share?.tryTake(now, demand) ?: false
+
+    override fun want(now: Long, demand: StoreDemand) {
+        share?.want(now, demand)
+    }
 
     override fun ended(now: Long) {
         share?.ended(now)
@@ -74,7 +78,7 @@
 
     private fun lend(from: VmId, ask: Message.TokenAsk) {
         val urgency = LoadUrgency.entries.getOrNull(ask.urgency) ?: return
-        val lent = share?.lend(ask.wanted, loop.now(), urgency) ?: return
+        val lent = share?.lend(LoanAsk(ask.wanted, urgency, ask.waitedMillis), loop.now()) ?: return
         if (lent > 0.0) links.send(from, Message.TokenLoan(lent))
     }
 }
--- a/apricotslip-node/src/main/kotlin/io/apricotslip/node/Node.kt
+++ b/apricotslip-node/src/main/kotlin/io/apricotslip/node/Node.kt
@@ -8,6 +8,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.required
+import org.tinylog.configuration.Configuration
 import java.nio.file.Path
 import java.time.Duration
 import kotlin.system.exitProcess
@@ -23,7 +24,7 @@
 }
 
 private fun run(settings: NodeSettings) {
-    System.setProperty("tinylog.level", settings.logs.level)
+    configureLogs(settings.logs.level)
     val node = Node(settings)
     val grace = Duration.ofMillis(settings.stop.announceMillis + 2 * settings.stop.graceMillis)
     val hook =
@@ -38,6 +39,16 @@
     exitProcess(0)
 }
 
+/** Logs go to standard error, so that standard output holds only the ports. */
+private fun configureLogs(level: String) {
+    Configuration.set("writer", "console")
+    Configuration.set("writer.stream", "err")
+    Configuration.set("writer.format", "time={date:yyyy-MM-dd'T'HH:mm:ss.SSSXXX} level={level} {message}")
+    Configuration.set("level", level)
+    Configuration.set("level@reactor.netty", "error")
+    Configuration.set("level@io.netty", "warn")
+}
+
 private fun reject(faults: List<SettingsFault>) {
     faults.forEach { System.err.println("settings: ${it.path}: ${it.reason}") }
     exitProcess(EXIT_SETTINGS)
--- a/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/SettingsRules.kt
+++ b/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/SettingsRules.kt
@@ -151,7 +151,6 @@
     }
 
     private fun RuleChecks.policy(p: PolicySettings) {
-        atLeast(1, "policy.candidates", p.candidates)
         atLeast(1L, "policy.popularityHalfLifeMillis", p.popularityHalfLifeMillis)
         atLeast(0L, "policy.deferrableMaxWaitMillis", p.deferrableMaxWaitMillis)
         atLeast(1L, "policy.loadBackoffMillis", p.loadBackoffMillis)
--- a/apricotslip-settings/src/test/kotlin/io/apricotslip/settings/SettingsTextTest.kt
+++ b/apricotslip-settings/src/test/kotlin/io/apricotslip/settings/SettingsTextTest.kt
@@ -55,7 +55,7 @@
                 """ "maxRetryMillis": 10000      | "maxRetryMillis": 499             | platform.maxRetryMillis """,
                 """ "retryBudgetRatio": 0.1      | "retryBudgetRatio": 1.1           | limits.retryBudgetRatio """,
                 """ "goal": "load-stalls"        | "goal": "speed"                   | policy.goal """,
-                """ "candidates": 3              | "candidates": 0                   | policy.candidates """,
+                """ "loadBackoffMillis": 500     | "loadBackoffMillis": 0            | policy.loadBackoffMillis """,
                 """ "maxLoadBackoffMillis": 15000 | "maxLoadBackoffMillis": 1        | policy.maxLoadBackoffMillis """,
                 """ "retentionMillis": 600000    | "retentionMillis": 10000          | reservations.retentionMillis """,
                 """ "graceMillis": 30000         | "graceMillis": 999                | stop.graceMillis """,
@@ -65,7 +65,7 @@
                 """ "level": "info"              | "level": "loud"                   | logs.level """,
                 """ "level": "info"              | "level": null                     | logs.level """,
                 """ "idleMillis"                 | "idleSeconds"                     | callers.idleSeconds """,
-                """ "candidates": 3,             | "candidates": 3, "candidates": 4, | policy.candidates """,
+                """ "loadBackoffMillis": 500,    | "loadBackoffMillis": 500, "loadBackoffMillis": 501, | policy.loadBackoffMillis """,
             ],
         )
         fun `it is the one fault and has its path`(from: String, to: String, path: String) {
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/Message.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/Message.kt
@@ -147,11 +147,14 @@
     @SerialName("tl")
     public data class TokenLoan(@SerialName("t") public val tokens: Double) : Message()
 
-    /** The sender needs [wanted] loads of the weight store; [urgency] is the rank of its most urgent one, 0 first. */
+    /** The sender needs [wanted] loads of the weight store; [urgency] is the rank of the most urgent one, 0 first. */
     @Serializable
     @SerialName("ta")
-    public data class TokenAsk(@SerialName("w") public val wanted: Double, @SerialName("u") public val urgency: Int) :
-        Message()
+    public data class TokenAsk(
+        @SerialName("w") public val wanted: Double,
+        @SerialName("u") public val urgency: Int,
+        @SerialName("m") public val waitedMillis: Long,
+    ) : Message()
 
     /** The sender is stopping and takes no new work. */
     @Serializable
