Measure the decisions in virtual time, and shape them by it

Adds bench decide: engines, store and messages between VMs as plain timing, eighteen scenarios, three whole baselines, seven variants with one rule replaced, and bounds with foresight. EngineStatus tells how much of what waits is deferrable; StoreBudget knows demands.

--- a/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/EngineStatus.kt
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/EngineStatus.kt
@@ -15,6 +15,7 @@
  * @property waiting requests queued at the owner.
  * @property waitingLoads distinct adapters that wait for a load.
  * @property evictable whether the owner can evict now.
+ * @property waitingDeferrable how many of [waiting] are deferrable.
  */
 @Serializable
 public data class EngineStatus(
@@ -28,4 +29,5 @@
     public val evictable: Boolean,
     public val tokensPerSecond: Double,
     public val adapters: List<AdapterUse>,
+    public val waitingDeferrable: Int = 0,
 )
--- /dev/null
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/baseline/LeastLoadedPlacement.kt
@@ -0,0 +1,29 @@
+package io.apricotslip.bench.baseline
+
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.manifest.EngineEntry
+import io.apricotslip.api.peer.EngineStatus
+import io.apricotslip.rules.placement.Placement
+import io.apricotslip.rules.placement.PlacementRequest
+import kotlin.random.Random
+
+/** Baseline: the engine with the fewest requests for each place of its batch, ties at random. */
+internal class LeastLoadedPlacement(private val random: Random) : Placement {
+    private val requests = HashMap<BackendServerId, Int>()
+
+    override fun learn(status: EngineStatus, now: Long) {
+        requests[status.server] = status.running + status.waiting
+    }
+
+    override fun forget(server: BackendServerId) {
+        requests.remove(server)
+    }
+
+    override fun rank(request: PlacementRequest, engines: List<EngineEntry>, now: Long): List<BackendServerId> =
+        engines.shuffled(random).sortedBy { (requests[it.id] ?: 0).toDouble() / it.batch }.map { it.id }
+
+    override fun sent(adapter: AdapterVersion, server: BackendServerId, now: Long) {
+        requests[server] = (requests[server] ?: 0) + 1
+    }
+}
--- /dev/null
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/DecideBench.kt
@@ -0,0 +1,54 @@
+package io.apricotslip.bench.decide
+
+import io.apricotslip.bench.report.Row
+import io.apricotslip.bench.report.ScenarioReport
+import java.util.concurrent.Callable
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.Executors
+
+/** Runs the scenarios of both deployments through all policies, several at a time. */
+internal class DecideBench(private val options: DecideOptions) {
+    fun run(): List<ScenarioReport> {
+        val executor = Executors.newFixedThreadPool(options.threads)
+        try {
+            val started = scenarios().map { it to start(it, executor) }
+            return started.map { (scenario, rows) -> report(scenario, rows.map { it.get() }) }
+        } finally {
+            executor.shutdown()
+        }
+    }
+
+    private fun scenarios(): List<Scenario> = Deployment.entries
+        .filter { options.deployment == null || it.label.equals(options.deployment, ignoreCase = true) }
+        .flatMap { Scenarios(it, options.seed, options.quick).all() }
+        .filter { options.scenario == null || it.name == options.scenario }
+
+    private fun start(scenario: Scenario, executor: ExecutorService) =
+        policies(scenario).map { policy -> executor.submit(Callable { Row.of(Fleet(scenario, policy).run()) }) }
+
+    private fun policies(scenario: Scenario): List<Policy> {
+        val all = listOf(Policies.product) + Policies.baselines
+        val compared = if (scenario.faults.isEmpty()) all + Policies.ablations else all
+        return compared.filterIndexed { i, p -> i < all.size || options.policy == null || p.name == options.policy }
+    }
+
+    private fun report(scenario: Scenario, rows: List<Row>): ScenarioReport {
+        val stalls = ClairvoyantBound(scenario).run()
+        val bound =
+            Row(
+                policy = "bound",
+                stalls = stalls,
+                waits = emptyMap(),
+                efficiency = if (scenario.name == NIGHT) EfficiencyBound(scenario).compute() else null,
+                loadsPerSecond = null,
+                refused = null,
+                goodput = null,
+                secondsToNormal = null,
+            )
+        return ScenarioReport(scenario, bound, rows, Policies.baselines.map { it.name }.toSet())
+    }
+
+    private companion object {
+        const val NIGHT = "night"
+    }
+}
--- /dev/null
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/Policies.kt
@@ -0,0 +1,66 @@
+package io.apricotslip.bench.decide
+
+import io.apricotslip.api.manifest.EngineEntry
+import io.apricotslip.bench.baseline.HashPlacement
+import io.apricotslip.bench.baseline.LeastLoadedPlacement
+import io.apricotslip.bench.baseline.RandomPlacement
+import io.apricotslip.rules.engine.AdapterScheduler
+import io.apricotslip.rules.engine.LoadOrder
+import io.apricotslip.rules.engine.SchedulerOptions
+import io.apricotslip.rules.engine.VictimOrder
+import io.apricotslip.rules.placement.AdapterPlacement
+import io.apricotslip.rules.placement.Placement
+import io.apricotslip.rules.placement.PlacementOptions
+import io.apricotslip.rules.store.StoreShareOptions
+import kotlin.random.Random
+
+/** The policies that are compared. */
+internal object Policies {
+    val product: Policy = product("apricotslip")
+
+    /** Whole policies without our rules: loads first come first served, the least recent adapter evicted. */
+    val baselines: List<Policy> =
+        listOf(
+            baseline("random") { random -> RandomPlacement(random) },
+            baseline("least loaded") { random -> LeastLoadedPlacement(random) },
+            baseline("consistent hashing") { HashPlacement { it.slots.toDouble() } },
+        )
+
+    /** The product with one rule replaced by a simple one. */
+    val ablations: List<Policy> =
+        listOf(
+            product("with LRU eviction") { it.copy(victimOrder = VictimOrder.LEAST_RECENT) },
+            product("with FCFS loads") { it.copy(loadOrder = LoadOrder.FIRST_COME) },
+            product("speed-blind", PlacementOptions(speedAware = false)),
+            product("without loans", lending = false),
+            product("nothing kept for interactive", share = StoreShareOptions(keptForInteractive = 0.0)),
+            product("without preload") { it.copy(preload = false) },
+            product("without jitter", PlacementOptions(jitter = 0.0)),
+        )
+
+    fun product(
+        name: String,
+        placement: PlacementOptions = PlacementOptions(),
+        share: StoreShareOptions = StoreShareOptions(),
+        lending: Boolean = true,
+        options: (SchedulerOptions) -> SchedulerOptions = { it },
+    ): Policy = Policy(name, { _, random -> AdapterPlacement(placement, random) }, scheduler(options), lending, share)
+
+    private fun baseline(name: String, placement: (Random) -> Placement): Policy = Policy(
+        name = name,
+        placement = { _, random -> placement(random) },
+        scheduler =
+        scheduler {
+            it.copy(loadOrder = LoadOrder.FIRST_COME, victimOrder = VictimOrder.LEAST_RECENT, preload = false)
+        },
+    )
+
+    private fun scheduler(
+        options: (SchedulerOptions) -> SchedulerOptions,
+    ): (Deployment, EngineEntry, Random) -> AdapterScheduler = { deployment, entry, random ->
+        val settings = options(SchedulerOptions(goal = deployment.goal, queueLimit = QUEUE_LIMIT))
+        AdapterScheduler(entry.id, entry.slots, entry.batch, entry.whenFull, settings, random)
+    }
+
+    private const val QUEUE_LIMIT = 100_000
+}
--- /dev/null
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/Policy.kt
@@ -0,0 +1,20 @@
+package io.apricotslip.bench.decide
+
+import io.apricotslip.api.manifest.EngineEntry
+import io.apricotslip.rules.engine.EngineScheduler
+import io.apricotslip.rules.placement.Placement
+import io.apricotslip.rules.store.StoreShareOptions
+import kotlin.random.Random
+
+/**
+ * Decision rules that run a scenario.
+ *
+ * @property lending whether VMs lend each other loads.
+ */
+internal class Policy(
+    val name: String,
+    val placement: (Deployment, Random) -> Placement,
+    val scheduler: (Deployment, EngineEntry, Random) -> EngineScheduler,
+    val lending: Boolean = true,
+    val share: StoreShareOptions = StoreShareOptions(),
+)
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
@@ -10,6 +10,7 @@
 import io.apricotslip.api.work.WorkClass
 import io.apricotslip.rules.store.LoadUrgency
 import io.apricotslip.rules.store.StoreBudget
+import io.apricotslip.rules.store.StoreDemand
 import kotlin.math.max
 import kotlin.math.min
 import kotlin.random.Random
@@ -36,14 +37,17 @@
     private val popularity = Popularity(options.popularityHalfLifeMillis * NANOS_PER_MILLI.toDouble())
     private val backoff = LoadBackoff(options, random)
     private val urgency = WorkUrgency(options)
-    private val loadQueue = LoadQueue(options, urgency)
     private val speed = SpeedMeter(batch)
     private val drain = Drain()
+    private val victims = Victims(options, use, waiting, popularity, speed, drain)
+    private val loadQueue = LoadQueue(options, urgency, waiting)
+    private val loads = LoadPlanner(slots, batch, options, use, waiting, backoff, victims, loadQueue)
     private val startQueue = StartQueue(batch, options, urgency, drain)
     private val overflow = ArrayList<Work>()
     private var ordersAllowed = true
     private var startsHeldUntil = Long.MIN_VALUE
     private var storeNextAt = Long.MAX_VALUE
+    private var decidedAt = 0L
 
     override fun enqueue(work: Work, now: Long) {
         popularity.add(work.adapter, weight(work), now)
@@ -112,14 +116,15 @@
         startWork(now, actions)
         if (ordersAllowed) orderLoads(now, budget, actions)
         storeNextAt = budget.nextAt(now)
+        decidedAt = now
         return actions
     }
 
     override fun wakeAt(now: Long): Long {
-        val deadline = waiting.all().minOfOrNull { it.deadlineAt - shortestWait(it) } ?: Long.MAX_VALUE
+        val deadline = nextRefusal(now)
         val retry = waiting.adapters.map { backoff.until(it) }.filter { it > now }.minOrNull() ?: Long.MAX_VALUE
         val held = if (startsHeldUntil > now) startsHeldUntil else Long.MAX_VALUE
-        val load = if (hasLoadDemand(now)) storeNextAt else Long.MAX_VALUE
+        val load = if (ordersAllowed && loads.hasDemand(now)) nextTry() else Long.MAX_VALUE
         return max(now, min(min(deadline, retry), min(held, load)))
     }
 
@@ -134,8 +139,9 @@
             waiting = waiting.size,
             waitingLoads = coming.size + use.loads.size,
             freeSlots = max(0, use.free),
-            evictable = ordersAllowed && (use.free > 0 || victim(now) != null),
+            evictable = ordersAllowed && (use.free > 0 || victims.next(now) != null),
             tokensPerSecond = speed.fullBatch(),
+            waitingDeferrable = waiting.count(WorkClass.DEFERRABLE),
             adapters = told.map { AdapterUse(it, use.running(it), waiting.count(it)) },
         )
     }
@@ -146,13 +152,22 @@
     }
 
     private fun refuseExpired(now: Long, actions: MutableList<EngineAction>) {
-        val late = waiting.all().filter { now + shortestWait(it) >= it.deadlineAt }
+        val due = waiting.dueBefore(now + nanos(options.loadMillis) + 1)
+        val late = due.filter { now + shortestWait(it) >= it.deadlineAt }
         for (work in late) {
             waiting.remove(work.id)
             actions += EngineAction.Refuse(work, RefusalCode.DEADLINE)
         }
     }
 
+    private fun nextTry(): Long = min(max(storeNextAt, decidedAt + LOAD_RETRY_NANOS), decidedAt + DEMAND_REPEAT_NANOS)
+
+    private fun nextRefusal(now: Long): Long {
+        val first = waiting.firstDeadline()
+        val soon = waiting.dueBefore(max(first, now) + nanos(options.loadMillis) + 1)
+        return soon.minOfOrNull { it.deadlineAt - shortestWait(it) } ?: first
+    }
+
     private fun shortestWait(work: Work): Long =
         if (use.isResident(work.adapter) || use.isLoading(work.adapter)) 0 else nanos(options.loadMillis)
 
@@ -168,60 +183,29 @@
 
     private fun orderLoads(now: Long, budget: StoreBudget, actions: MutableList<EngineAction>) {
         while (true) {
-            val demand = nextLoad(now) ?: return preload(now, budget, actions)
+            val demand = loads.next(now) ?: return preload(now, budget, actions)
             if (use.free <= 0) return makeRoom(demand, now, budget, actions)
-            if (!budget.tryTake(now, demand.urgency)) return
+            if (!budget.tryTake(now, demand.toStore())) return
             use.load(demand.adapter)
             actions += EngineAction.Load(demand.adapter)
         }
     }
 
-    private fun nextLoad(now: Long): LoadDemand? {
-        val demand = loadQueue.first(waiting, now) { isLoadable(it, now) } ?: return null
-        return demand.takeIf { it.urgency != LoadUrgency.DEFERRABLE || hasSlack() }
-    }
-
-    private fun hasSlack(): Boolean {
-        val startable = use.adapters.sumOf { waiting.count(it) } + use.loads.sumOf { waiting.count(it) }
-        return use.running + use.foreign + startable < batch
-    }
-
-    private fun isLoadable(adapter: AdapterVersion, now: Long): Boolean =
-        !use.isResident(adapter) && !use.isLoading(adapter) && !backoff.blocks(adapter, now)
-
-    private fun hasLoadDemand(now: Long): Boolean = waiting.adapters.any { isLoadable(it, now) }
-
     private fun makeRoom(demand: LoadDemand, now: Long, budget: StoreBudget, actions: MutableList<EngineAction>) {
         if (use.evicting > 0) return
+        val victim = victims.next(now) ?: return victims.drainFor(demand, now)
+        budget.want(now, demand.toStore())
         val next = budget.nextAt(now)
-        if (next == Long.MAX_VALUE || next - now > nanos(options.evictLeadMillis)) {
-            budget.tryTake(now, demand.urgency)
-            return
-        }
-        val victim = victim(now) ?: return beginDrain(demand, now)
+        if (next == Long.MAX_VALUE || next - now > nanos(options.evictLeadMillis)) return
         use.evict(victim)
         actions += EngineAction.Evict(victim)
     }
 
-    private fun beginDrain(demand: LoadDemand, now: Long) {
-        if (drain.adapter != null || demand.urgency == LoadUrgency.DEFERRABLE) return
-        if (now - demand.oldestAt < nanos(options.drainAfterMillis)) return
-        drain.begin(use.adapters.minByOrNull { popularity.of(it, now) }, demand.oldestAt)
-    }
-
-    private fun victim(now: Long): AdapterVersion? {
-        val idle = use.idle(now).filter { waiting.count(it) == 0 || it == drain.adapter }
-        return when (options.victimOrder) {
-            VictimOrder.POPULARITY -> idle.minByOrNull { popularity.of(it, now) }
-            VictimOrder.LEAST_RECENT -> idle.minByOrNull { use.usedAt(it) }
-        }
-    }
-
     private fun preload(now: Long, budget: StoreBudget, actions: MutableList<EngineAction>) {
         if (!options.preload || use.loads.isNotEmpty() || use.free <= 0) return
-        val adapter = popularity.best(now) { isLoadable(it, now) } ?: return
+        val adapter = popularity.best(now) { loads.isLoadable(it, now) } ?: return
         if (popularity.of(adapter, now) < options.preloadMinPopularity) return
-        if (!budget.tryTake(now, LoadUrgency.PRELOAD)) return
+        if (!budget.tryTake(now, StoreDemand(LoadUrgency.PRELOAD, now))) return
         use.load(adapter)
         actions += EngineAction.Load(adapter)
     }
@@ -233,6 +217,8 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
+        const val LOAD_RETRY_NANOS = 5 * NANOS_PER_MILLI
+        const val DEMAND_REPEAT_NANOS = 50 * NANOS_PER_MILLI
         const val COMING_TOLD = 32
     }
 }
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/SchedulerOptions.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/SchedulerOptions.kt
@@ -9,6 +9,7 @@
  * @property maxLoadBackoffMillis longest wait after a failed load.
  * @property planPromoteMillis a plan that waited this long is treated as interactive work.
  * @property deferrableMaxWaitMillis deferrable work that waited this long is treated as a plan.
+ * @property deadlineNearMillis deferrable work whose deadline is this near is treated as a plan.
  * @property drainAfterMillis when work waited this long for a slot and every resident adapter is in use, nothing more
  *   is started on the least popular one.
  * @property evictRefusedPauseMillis an adapter whose evict was refused is no victim for this time.
@@ -17,6 +18,8 @@
  * @property preloadMinPopularity decayed count of requests below which an adapter is not loaded ahead.
  * @property preloadGain how many times as popular as the victim an adapter must be to replace it ahead of need.
  * @property interactiveReserve part of the batch that deferrable work leaves free.
+ * @property urgentSlots part of the slots that deferrable work leaves to the rest; at least one.
+ * @property loadedAhead adapters of deferrable work that may be resident before the batch has room for it.
  * @property startPauseMillis wait after the engine refused to start a request.
  * @property deferrablePopularity what a deferrable request counts in popularity; another counts 1.
  * @property loadOrder which waiting adapter is loaded next.
@@ -26,11 +29,12 @@
 public data class SchedulerOptions(
     public val goal: SchedulerGoal = SchedulerGoal.LOAD_STALLS,
     public val queueLimit: Int = 1_024,
-    public val popularityHalfLifeMillis: Long = 60_000,
+    public val popularityHalfLifeMillis: Long = 900_000,
     public val loadBackoffMillis: Long = 500,
     public val maxLoadBackoffMillis: Long = 15_000,
-    public val planPromoteMillis: Long = 5_000,
-    public val deferrableMaxWaitMillis: Long = 600_000,
+    public val planPromoteMillis: Long = 15_000,
+    public val deferrableMaxWaitMillis: Long = 3_600_000,
+    public val deadlineNearMillis: Long = 300_000,
     public val drainAfterMillis: Long = 1_000,
     public val evictRefusedPauseMillis: Long = 2_000,
     public val evictLeadMillis: Long = 20,
@@ -38,6 +42,8 @@
     public val preloadMinPopularity: Double = 0.5,
     public val preloadGain: Double = 2.0,
     public val interactiveReserve: Double = 0.125,
+    public val urgentSlots: Double = 0.125,
+    public val loadedAhead: Int = 2,
     public val startPauseMillis: Long = 50,
     public val deferrablePopularity: Double = 0.1,
     public val loadOrder: LoadOrder = LoadOrder.WEIGHTED,
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/Slots.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/Slots.kt
@@ -33,6 +33,8 @@
 
     fun running(adapter: AdapterVersion): Int = residents[adapter]?.running ?: 0
 
+    fun startedOn(adapter: AdapterVersion): List<Started> = started.values.filter { it.work.adapter == adapter }
+
     fun usedAt(adapter: AdapterVersion): Long = residents[adapter]?.usedAt ?: Long.MIN_VALUE
 
     fun idle(now: Long): List<AdapterVersion> = residents.entries.filter { isIdle(it.value, now) }.map { it.key }
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/WaitingWork.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/WaitingWork.kt
@@ -3,6 +3,7 @@
 import io.apricotslip.api.id.AdapterVersion
 import io.apricotslip.api.id.RequestId
 import io.apricotslip.api.work.WorkClass
+import java.util.TreeSet
 
 /** Work that waits for one adapter, by class and in order of arrival. */
 internal class AdapterQueue {
@@ -31,17 +32,20 @@
 internal class WaitingWork {
     private val byId = LinkedHashMap<RequestId, Work>()
     private val queues = LinkedHashMap<AdapterVersion, AdapterQueue>()
+    private val byDeadline = TreeSet(compareBy<Work> { it.deadlineAt }.thenBy { it.id.value })
 
     val size: Int get() = byId.size
     val adapters: Set<AdapterVersion> get() = queues.keys
 
     fun add(work: Work) {
         byId[work.id] = work
+        byDeadline += work
         queues.getOrPut(work.adapter) { AdapterQueue() }.add(work)
     }
 
     fun remove(id: RequestId): Work? {
         val work = byId.remove(id) ?: return null
+        byDeadline -= work
         val queue = queues.getValue(work.adapter)
         queue.remove(work)
         if (queue.size == 0) queues.remove(work.adapter)
@@ -50,9 +54,14 @@
 
     fun queue(adapter: AdapterVersion): AdapterQueue? = queues[adapter]
 
+    fun count(workClass: WorkClass): Int = queues.values.sumOf { it.count(workClass) }
+
     fun count(adapter: AdapterVersion): Int = queues[adapter]?.size ?: 0
 
-    fun all(): Collection<Work> = byId.values
+    fun firstDeadline(): Long = if (byDeadline.isEmpty()) Long.MAX_VALUE else byDeadline.first().deadlineAt
+
+    /** Work whose deadline is before [until], the earliest first. */
+    fun dueBefore(until: Long): List<Work> = byDeadline.takeWhile { it.deadlineAt < until }
 
     fun leastUrgent(): Work? {
         val workClass = WorkClass.entries.lastOrNull { c -> queues.values.any { it.count(c) > 0 } } ?: return null
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/WorkUrgency.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/WorkUrgency.kt
@@ -7,17 +7,26 @@
 internal class WorkUrgency(private val options: SchedulerOptions) {
     fun of(work: Work, now: Long): LoadUrgency = when (work.workClass) {
         WorkClass.INTERACTIVE -> LoadUrgency.INTERACTIVE
-        WorkClass.PLAN -> raised(work, now, options.planPromoteMillis, LoadUrgency.PLAN)
-        WorkClass.DEFERRABLE -> raised(work, now, options.deferrableMaxWaitMillis, LoadUrgency.DEFERRABLE)
+        WorkClass.PLAN -> if (waited(
+                work,
+                options.planPromoteMillis,
+                now,
+            )
+        ) {
+            LoadUrgency.INTERACTIVE
+        } else {
+            LoadUrgency.PLAN
+        }
+        WorkClass.DEFERRABLE -> if (isDue(work, now)) LoadUrgency.PLAN else LoadUrgency.DEFERRABLE
     }
 
     fun of(queue: AdapterQueue, now: Long): LoadUrgency =
         WorkClass.entries.mapNotNull { queue.head(it) }.minOf { of(it, now) }
 
-    private fun raised(work: Work, now: Long, afterMillis: Long, usual: LoadUrgency): LoadUrgency {
-        val waited = now - work.arrivedAt
-        return if (waited < afterMillis * NANOS_PER_MILLI) usual else LoadUrgency.entries[usual.ordinal - 1]
-    }
+    private fun isDue(work: Work, now: Long): Boolean = waited(work, options.deferrableMaxWaitMillis, now) ||
+        work.deadlineAt - now < options.deadlineNearMillis * NANOS_PER_MILLI
+
+    private fun waited(work: Work, millis: Long, now: Long): Boolean = now - work.arrivedAt >= millis * NANOS_PER_MILLI
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/placement/AdapterPlacement.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/placement/AdapterPlacement.kt
@@ -4,78 +4,90 @@
 import io.apricotslip.api.id.BackendServerId
 import io.apricotslip.api.manifest.EngineEntry
 import io.apricotslip.api.peer.EngineStatus
-import kotlin.math.max
+import io.apricotslip.api.work.WorkClass
 import kotlin.random.Random
 
 /**
- * Sends a request to the engine with the shortest estimated wait, among those that have its adapter and its candidates
- * by rendezvous hashing. Counts what it sent until the status of the engine's owner shows it.
+ * Sends a request to the engine with the shortest estimated wait among those that hold its adapter and its home. The
+ * home is the first engine of the adapter's rendezvous ranking that is not overloaded, so that an adapter keeps to one
+ * engine, and gets a copy on the next when the first can't carry its load. Homes of urgent work are spread by slots,
+ * those of deferrable work by speed. Counts what it sent until the status of the engine's owner shows it.
+ *
+ * @param random source of the jitter that keeps entry VMs with the same stale statuses from choosing alike.
  */
 public class AdapterPlacement(
     private val options: PlacementOptions = PlacementOptions(),
-    @Suppress("UnusedPrivateProperty") private val random: Random = Random(0),
+    private val random: Random = Random(0),
 ) : Placement {
-    private class Sent(val adapter: AdapterVersion, val at: Long)
+    private val views = HashMap<BackendServerId, EngineView>()
 
-    private class Learned {
-        var status: EngineStatus? = null
-        val sent = ArrayDeque<Sent>()
-    }
-
-    private val learned = HashMap<BackendServerId, Learned>()
-
-    override fun learn(status: EngineStatus, now: Long) {
-        val entry = learned.getOrPut(status.server) { Learned() }
-        entry.status = status
-        entry.sent.removeAll { now - it.at > STATUS_AGE_NANOS }
-    }
+    override fun learn(status: EngineStatus, now: Long): Unit = view(status.server).learn(status, now)
 
     override fun forget(server: BackendServerId) {
-        learned.remove(server)
+        views.remove(server)
     }
 
     override fun rank(request: PlacementRequest, engines: List<EngineEntry>, now: Long): List<BackendServerId> {
-        val homes = Rendezvous.rank(request.adapter, engines) { it.slots.toDouble() }
-        val speed = meanSpeed()
-        val near = homes.filterIndexed { i, e -> i < options.candidates || isAt(request.adapter, e.id, now) }
-        val ranked = near.sortedBy { wait(request, it, speed, now) }
-        return (ranked + (homes - ranked.toSet())).map { it.id }
+        if (engines.isEmpty()) return emptyList()
+        val waits = Waits(request, engines, now)
+        val homes = Rendezvous.rank(request.adapter, engines, waits::weight)
+        val home = homes.firstOrNull { !waits.isOverloaded(it) } ?: homes.first()
+        val near = homes.filter { it === home || view(it.id).holds(request.adapter, now) }
+        val estimates = near.associateWith { waits.estimate(it) * (1 + options.jitter * random.nextDouble()) }
+        val ranked = near.sortedBy { estimates.getValue(it) }
+        return (ranked + (homes - ranked.toSet()).sortedBy { waits.isOverloaded(it) }).map { it.id }
     }
 
-    override fun sent(adapter: AdapterVersion, server: BackendServerId, now: Long) {
-        learned.getOrPut(server) { Learned() }.sent += Sent(adapter, now)
-    }
+    override fun sent(adapter: AdapterVersion, server: BackendServerId, now: Long): Unit =
+        view(server).sent(adapter, now)
 
-    private fun isAt(adapter: AdapterVersion, server: BackendServerId, now: Long): Boolean {
-        val entry = learned[server] ?: return false
-        if (entry.status?.adapters.orEmpty().any { it.adapter == adapter }) return true
-        return entry.sent.any { it.adapter == adapter && now - it.at <= options.sentMillis * NANOS_PER_MILLI }
-    }
+    private fun view(server: BackendServerId): EngineView = views.getOrPut(server) { EngineView(options) }
 
-    private fun wait(request: PlacementRequest, engine: EngineEntry, meanSpeed: Double, now: Long): Double {
-        val entry = learned[engine.id]
-        val status = entry?.status
-        val sent = entry?.sent.orEmpty().count { now - it.at <= options.sentMillis * NANOS_PER_MILLI }
-        val speed = status?.tokensPerSecond?.takeIf { it > 0 } ?: meanSpeed
-        val requests = (status?.running ?: 0) + (status?.waiting ?: 0) + sent + 1
-        val queued = max(0, requests - engine.batch) * request.maxTokens / speed * MILLIS_PER_SECOND
-        val decoding = request.maxTokens / (speed / engine.batch) * MILLIS_PER_SECOND
-        return queued + decoding + loadWait(request, engine, status, now)
-    }
+    /** Estimates for one request on each of [engines], in milliseconds. */
+    private inner class Waits(
+        private val request: PlacementRequest,
+        private val engines: List<EngineEntry>,
+        private val now: Long,
+    ) {
+        private val deferrable = request.workClass == WorkClass.DEFERRABLE
+        private val meanSpeed = engines.mapNotNull { learnedSpeed(it) }.takeIf { it.isNotEmpty() }?.average()
+        private val scale = SpeedScale(engines.map { speed(it) })
+        private val meanBacklog = engines.sumOf { backlog(it) } / engines.size
 
-    private fun loadWait(request: PlacementRequest, engine: EngineEntry, status: EngineStatus?, now: Long): Double {
-        if (isAt(request.adapter, engine.id, now)) return 0.0
-        return options.loadCostMillis + options.waitingLoadMillis * (status?.waitingLoads ?: 0)
-    }
+        fun weight(engine: EngineEntry): Double =
+            if (deferrable) scale.normalised(speed(engine)) else engine.slots.toDouble()
+
+        fun isOverloaded(engine: EngineEntry): Boolean {
+            if (deferrable) return backlog(engine) > meanBacklog * options.backlogFactor + answer(engine)
+            val full = requests(engine) >= engine.batch * options.overloadFactor
+            return full || view(engine.id).status?.evictable == false
+        }
+
+        fun estimate(engine: EngineEntry): Double {
+            val before = maxOf(0, requests(engine) + 1 - engine.batch)
+            return (before + engine.batch) * answer(engine) + loadWait(view(engine.id))
+        }
+
+        private fun requests(engine: EngineEntry): Int = view(engine.id).requests(deferrable, now)
+
+        private fun backlog(engine: EngineEntry): Double = requests(engine) * answer(engine)
+
+        /** Part of the engine's time that one answer takes at full batch. */
+        private fun answer(engine: EngineEntry): Double = request.maxTokens / speed(engine) * MILLIS_PER_SECOND
+
+        private fun speed(engine: EngineEntry): Double =
+            learnedSpeed(engine) ?: meanSpeed ?: options.unknownTokensPerSecond
+
+        private fun learnedSpeed(engine: EngineEntry): Double? =
+            view(engine.id).status?.tokensPerSecond?.takeIf { options.speedAware && it > 0 }
 
-    private fun meanSpeed(): Double {
-        val speeds = learned.values.mapNotNull { it.status?.tokensPerSecond }.filter { it > 0 }
-        return if (speeds.isEmpty()) options.unknownTokensPerSecond else speeds.average()
+        private fun loadWait(view: EngineView): Double {
+            if (view.holds(request.adapter, now)) return 0.0
+            return options.loadCostMillis + options.waitingLoadMillis * (view.status?.waitingLoads ?: 0)
+        }
     }
 
     private companion object {
-        const val NANOS_PER_MILLI = 1_000_000L
         const val MILLIS_PER_SECOND = 1_000.0
-        const val STATUS_AGE_NANOS = 100 * NANOS_PER_MILLI
     }
 }
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/placement/Rendezvous.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/placement/Rendezvous.kt
@@ -5,8 +5,13 @@
 import kotlin.math.ln
 
 /** Weighted rendezvous hashing of adapters over engines; an engine's part grows with its weight. */
-internal object Rendezvous {
-    fun rank(adapter: AdapterVersion, engines: List<EngineEntry>, weight: (EngineEntry) -> Double): List<EngineEntry> {
+public object Rendezvous {
+    /** [engines] in the order of their scores for [adapter]. */
+    public fun rank(
+        adapter: AdapterVersion,
+        engines: List<EngineEntry>,
+        weight: (EngineEntry) -> Double,
+    ): List<EngineEntry> {
         val scores = engines.associateWith { score(adapter, it, weight(it)) }
         return engines.sortedWith(compareBy<EngineEntry> { scores.getValue(it) }.thenBy { it.id })
     }
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreBudget.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreBudget.kt
@@ -5,8 +5,11 @@
     /** Takes one load if there is one; a taken load is never given back. */
     public fun tryTake(now: Long): Boolean
 
-    /** Like [tryTake], and leaves the load to a more urgent one that was refused shortly before. */
-    public fun tryTake(now: Long, urgency: LoadUrgency): Boolean = tryTake(now)
+    /** Like [tryTake], and leaves the load to a [demand] that was wanted shortly before and comes first. */
+    public fun tryTake(now: Long, demand: StoreDemand): Boolean = tryTake(now)
+
+    /** Notes [demand], which can't take a load yet. */
+    public fun want(now: Long, demand: StoreDemand): Unit = Unit
 
     /** A load that was taken ended. */
     public fun ended(now: Long)
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreShare.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreShare.kt
@@ -6,8 +6,9 @@
 
 /**
  * Token bucket with one VM's share of the store's rate. It starts empty, so that VMs which restart at once make no
- * burst. A larger share counts only after a delay, a smaller one at once, so that the shares of all VMs add up to no
- * more than the whole also while their lists differ. A loan is subtracted before it is sent: a lost message loses
+ * burst, and an idle VM saves up its part of the store's burst only, so that what it does not need is there for a peer
+ * that asks. A larger share counts only after a delay, a smaller one at once, so that the shares of all VMs add up to
+ * no more than the whole also while their lists differ. A loan is subtracted before it is sent: a lost message loses
  * loads and never makes any.
  *
  * @param loadsPerSecond rate of the whole store.
@@ -29,22 +30,27 @@
     private var countedAt = Long.MIN_VALUE
     private var inFlight = 0
     private var askedAt = Long.MIN_VALUE
-    private val refusedAt = LongArray(LoadUrgency.entries.size) { Long.MIN_VALUE }
+    private val demands = Demands(options.demandMillis * NANOS_PER_MILLI)
 
-    override fun tryTake(now: Long): Boolean = tryTake(now, LoadUrgency.INTERACTIVE)
+    override fun tryTake(now: Long): Boolean =
+        tryTake(now, demands.first(now) ?: StoreDemand(LoadUrgency.INTERACTIVE, now))
 
-    override fun tryTake(now: Long, urgency: LoadUrgency): Boolean {
+    override fun tryTake(now: Long, demand: StoreDemand): Boolean {
         refill(now)
-        if (inFlight >= inFlightLimit()) return false
-        val taken = tokens >= 1 - ROUNDING && !wantedBefore(urgency, now)
-        if (taken) {
-            tokens -= 1
-            inFlight += 1
-            refusedAt[urgency.ordinal] = Long.MIN_VALUE
-        } else {
-            refusedAt[urgency.ordinal] = now
+        val free = inFlight < inFlightLimit() && tokens - kept(demand.urgency) >= 1 - ROUNDING
+        if (!free || demands.before(demand, now)) {
+            demands.add(demand, now)
+            return false
         }
-        return taken
+        tokens -= 1
+        inFlight += 1
+        demands.remove(demand.urgency)
+        return true
+    }
+
+    override fun want(now: Long, demand: StoreDemand) {
+        refill(now)
+        demands.add(demand, now)
     }
 
     override fun ended(now: Long) {
@@ -72,35 +78,36 @@
         }
     }
 
-    /**
-     * Loads to ask of a peer now, or 0.0. The caller asks one peer after the other; [urgency] goes with the ask.
-     */
-    public fun wanted(now: Long): Double {
+    /** What to ask of every peer now, or null. Never twice within the pause. */
+    public fun ask(now: Long): LoanAsk? {
         refill(now)
         val pause = options.askPauseMillis * NANOS_PER_MILLI
-        if (urgency(now) == null || tokens >= 1 - ROUNDING || inFlight >= inFlightLimit()) return 0.0
-        if (askedAt != Long.MIN_VALUE && now - askedAt < pause) return 0.0
+        val demand = demands.first(now) ?: return null
+        val wanted = 1 + kept(demand.urgency) - tokens
+        if (wanted <= ROUNDING || inFlight >= inFlightLimit()) return null
+        if (askedAt != Long.MIN_VALUE && now - askedAt < pause) return null
         askedAt = now
-        return 1 - tokens
+        return LoanAsk(wanted, demand.urgency, max(0, now - demand.since) / NANOS_PER_MILLI)
     }
 
-    /** The most urgent load that was refused lately, or null. */
-    public fun urgency(now: Long): LoadUrgency? = LoadUrgency.entries.firstOrNull { isUnmet(it, now) }
-
-    /** Gives up to [wanted] loads to a peer whose demand is [urgency]; subtracted here before the peer learns of it. */
-    public fun lend(wanted: Double, now: Long, urgency: LoadUrgency = LoadUrgency.DEFERRABLE): Double {
+    /** Gives loads to a peer that sent [ask]; subtracted here before the peer learns of it. */
+    public fun lend(ask: LoanAsk, now: Long): Double {
         refill(now)
-        val own = urgency(now)
-        if (own != null && own <= urgency) return 0.0
-        val lent = min(max(0.0, wanted), tokens)
+        val own = demands.first(now)
+        val since = now - (ask.waitedMillis - options.yieldMillis) * NANOS_PER_MILLI
+        if (own != null && own <= StoreDemand(ask.urgency, since)) return 0.0
+        val lent = min(max(0.0, ask.wanted), max(0.0, tokens - kept(ask.urgency)))
         tokens -= lent
         return lent
     }
 
+    /** Gives up to [wanted] loads to a peer of which no more is known; subtracted here before the peer learns of it. */
+    public fun lend(wanted: Double, now: Long): Double = lend(LoanAsk(wanted, LoadUrgency.DEFERRABLE, 0), now)
+
     /** A peer lent [tokens]. */
     public fun borrowed(tokens: Double, now: Long) {
         refill(now)
-        this.tokens = min(this.tokens + max(0.0, tokens), burst() + 1)
+        this.tokens = min(this.tokens + max(0.0, tokens), fullSpeedInFlight + options.savedForDemand)
     }
 
     private fun refill(now: Long) {
@@ -117,21 +124,22 @@
         if (until <= countedAt) return
         val made = (until - countedAt) / NANOS_PER_SECOND * loadsPerSecond * share
         countedAt = until
-        if (tokens < burst()) tokens = min(burst(), tokens + made)
+        val most = saved(until)
+        if (tokens < most) tokens = min(most, tokens + made)
     }
 
-    private fun burst(): Double = max(options.minBurst, fullSpeedInFlight * share)
-
-    private fun inFlightLimit(): Int = max(1, (maxInFlight * share).toInt())
-
-    private fun wantedBefore(urgency: LoadUrgency, now: Long): Boolean =
-        LoadUrgency.entries.any { it < urgency && isUnmet(it, now) }
+    private fun saved(now: Long): Double {
+        val idle = fullSpeedInFlight * share
+        return if (demands.first(now) == null) idle else max(options.savedForDemand, idle)
+    }
 
-    private fun isUnmet(urgency: LoadUrgency, now: Long): Boolean {
-        val at = refusedAt[urgency.ordinal]
-        return at != Long.MIN_VALUE && now - at <= options.demandMillis * NANOS_PER_MILLI
+    private fun kept(urgency: LoadUrgency): Double {
+        if (urgency == LoadUrgency.INTERACTIVE) return 0.0
+        return min(options.keptForInteractive, fullSpeedInFlight - 1.0) * share
     }
 
+    private fun inFlightLimit(): Int = max(1, (maxInFlight * share).toInt())
+
     private companion object {
         const val NANOS_PER_SECOND = 1e9
         const val NANOS_PER_MILLI = 1_000_000L
