--- a/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/http/IdleGuard.kt
+++ b/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/http/IdleGuard.kt
@@ -11,7 +11,8 @@
 
 /**
  * Fails a stream that is silent while its subscriber waits. Unlike with [Flux.timeout], a subscriber that asks for
- * nothing is no silence, and neither is a pause of the whole process: silence is counted in checks, not read off a clock.
+ * nothing is no silence, and neither is a pause of the whole process: silence is counted in checks and not read off a
+ * clock.
  *
  * @property firstMillis limit until the first element.
  * @property nextMillis limit between elements.
