Let only owners evict, and exit 0 after a planned stop

And exitProcess has no effect while the shutdown hook runs, so SIGTERM ended in 143. Ruled out: the guard, whose refusals were right. Now a standby refuses as not run what needs room.

--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/load/Load.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/load/Load.kt
@@ -13,6 +13,9 @@
 
 private const val EXIT_USAGE = 2
 private const val EXIT_FAULTS = 1
+private const val DEFAULT_RATE = 20.0
+private const val DEFAULT_SECONDS = 30
+private const val DEFAULT_DEADLINE_MILLIS = 30_000
 
 /** `load`: open-loop load on running nodes. Exit codes: 0, 1 when an answer was wrong, 2 for wrong arguments. */
 public fun main(args: Array<String>) {
@@ -22,10 +25,14 @@
     val parser = ArgParser("load")
     val targets by parser.option(ArgType.String, "target", description = "Callers' port as HOST:PORT").multiple()
     val manifest by parser.option(ArgType.String, "manifest", description = "Manifest file").required()
-    val rate by parser.option(ArgType.Double, "rate", description = "Requests a second").default(20.0)
-    val seconds by parser.option(ArgType.Int, "seconds", description = "Length of the run").default(30)
+    val rate by parser.option(ArgType.Double, "rate", description = "Requests a second").default(DEFAULT_RATE)
+    val seconds by parser.option(ArgType.Int, "seconds", description = "Length of the run").default(DEFAULT_SECONDS)
     val exponent by parser.option(ArgType.Double, "zipf", description = "Exponent of popularity").default(1.0)
-    val deadline by parser.option(ArgType.Int, "deadline-millis", description = "Deadline").default(30_000)
+    val deadline by parser.option(
+        ArgType.Int,
+        "deadline-millis",
+        description = "Deadline",
+    ).default(DEFAULT_DEADLINE_MILLIS)
     val seed by parser.option(ArgType.Int, "seed", description = "Seed").default(1)
     parser.parse(args)
     if (targets.isEmpty()) usage("--target is needed")
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -17,6 +17,7 @@
 import io.apricotslip.rules.engine.EngineScheduler
 import io.apricotslip.rules.engine.Work
 import io.apricotslip.rules.store.StoreBudget
+import io.apricotslip.safety.OwnershipRanking
 import io.apricotslip.safety.Role
 import io.apricotslip.wire.Message
 import org.tinylog.kotlin.Logger
@@ -135,7 +136,19 @@
     }
 
     /** What to tell the other nodes; null unless this node speaks for the engine. */
-    fun status(): EngineStatus? = scheduler.status(ctx.loop.now()).takeIf { reachable && role() != Role.None }
+    fun status(): EngineStatus? {
+        if (!reachable) return null
+        return when (role()) {
+            is Role.Owner -> scheduler.status(ctx.loop.now())
+            is Role.Standby -> scheduler.status(ctx.loop.now()).copy(evictable = false).takeUnless { ownerIsUp() }
+            is Role.None -> null
+        }
+    }
+
+    private fun ownerIsUp(): Boolean {
+        val vms = ctx.membership.tenured?.vms.orEmpty()
+        return OwnershipRanking.rank(engine.id, vms).firstOrNull()?.let(ctx.links::isUp) == true
+    }
 
     private fun refusalFor(): RefusalCode? = when {
         role() == Role.None || !ctx.membership.leaseHeld(ctx.loop.now()) -> RefusalCode.NOT_READY
@@ -159,11 +172,23 @@
         when (action) {
             is EngineAction.Start -> startOnEngine(action)
             is EngineAction.Load -> orders.load(action.adapter)
-            is EngineAction.Evict -> orders.evict(action.adapter)
+            is EngineAction.Evict -> evict(action.adapter)
             is EngineAction.Refuse -> refuse(action.work.id, action.code, Step.QUEUE)
         }
     }
 
+    private fun evict(adapter: AdapterVersion) {
+        if (role() == Role.Owner) return orders.evict(adapter)
+        scheduler.evictRefused(adapter, ctx.loop.now())
+        refuseWithoutRoom()
+    }
+
+    /** Only the owner evicts: what waits for room here is refused as not run, and its entry VM asks elsewhere. */
+    private fun refuseWithoutRoom() {
+        if (scheduler.status(ctx.loop.now()).freeSlots > 0) return
+        refuseWaiting { it.adapter !in scheduler.residents }
+    }
+
     private fun startOnEngine(action: EngineAction.Start) {
         val work = action.work
         val call = streams[work.id]
@@ -197,8 +222,8 @@
         if (role != Role.None) poll()
     }
 
-    private fun refuseWaiting() {
-        streams.waiting().forEach { call ->
+    private fun refuseWaiting(which: (OwnerCall) -> Boolean = { true }) {
+        streams.waiting().filter(which).forEach { call ->
             if (scheduler.cancel(call.request, ctx.loop.now())) refuse(call.request, RefusalCode.NOT_READY, Step.QUEUE)
         }
     }
--- a/apricotslip-node/src/main/kotlin/io/apricotslip/node/Node.kt
+++ b/apricotslip-node/src/main/kotlin/io/apricotslip/node/Node.kt
@@ -31,6 +31,7 @@
         Thread {
             node.stop().block(grace)
             node.close()
+            Runtime.getRuntime().halt(0)
         }
     val ports = node.start()
     Runtime.getRuntime().addShutdownHook(hook)
