--- a/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/FenceCounter.kt
+++ b/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/FenceCounter.kt
@@ -31,11 +31,14 @@
     public fun stale(server: BackendServerId, highest: FenceNumber, revision: ListRevision): FenceAdvice {
         val issued = last[server] ?: 0
         if (highest.value > issued && highest.value shr ORDER_BITS > revision.value) return FenceAdvice.Stop
-        last[server] = maxOf(issued, highest.value)
+        if (highest.value > issued) last[server] = highest.value + IN_FLIGHT
         return FenceAdvice.Retry
     }
 
     private companion object {
         const val ORDER_BITS = 20
+
+        /** More orders than a former life of this VM can have had in flight, unseen by the engine. */
+        const val IN_FLIGHT = 1024
     }
 }
--- a/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/Membership.kt
+++ b/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/Membership.kt
@@ -62,7 +62,7 @@
         observe(now)
         this.list = list
         hear(list.revision)
-        answers.retain(list.vms.map { it.id }.toSet())
+        answers.forget()
         tenure.adopted(list, now)
         observe(now)
         return heartbeats(now)
--- a/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/PeerAnswers.kt
+++ b/apricotslip-safety/src/main/kotlin/io/apricotslip/safety/PeerAnswers.kt
@@ -35,9 +35,10 @@
 
     operator fun get(vm: VmId): PeerAnswer? = answers[vm]
 
-    /** Keeps only the answers of [vms]. */
-    fun retain(vms: Set<VmId>) {
-        answers.keys.retainAll(vms)
+    /** Forgets all answers, and those to come to rounds sent so far. */
+    fun forget() {
+        sent.clear()
+        answers.clear()
     }
 
     private companion object {
--- /dev/null
+++ b/apricotslip-safety/src/test/kotlin/io/apricotslip/safety/EvictGuardTest.kt
@@ -0,0 +1,231 @@
+package io.apricotslip.safety
+
+import io.apricotslip.api.id.AdapterVersion
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.Incarnation
+import io.apricotslip.api.id.ListRevision
+import io.apricotslip.api.id.ManifestRevision
+import io.apricotslip.api.id.RequestId
+import io.apricotslip.api.id.VmId
+import io.apricotslip.api.manifest.WhenFull
+import io.apricotslip.api.peer.SafetyMessage.EvictAnswer
+import io.apricotslip.api.peer.SafetyMessage.EvictAsk
+import io.apricotslip.api.peer.SafetyMessage.EvictDone
+import io.apricotslip.api.peer.SafetyMessage.Heartbeat
+import io.apricotslip.api.peer.SafetyMessage.HeartbeatAck
+import io.apricotslip.api.peer.SafetyMessage.Pass
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+/** The VM `a` on a list of three, tenured, with one engine of each role. */
+class EvictGuardTest {
+    private val none = ManifestRevision(0)
+    private val adapter = AdapterVersion.parse("club@v1")!!
+    private val list = vmList(1, "a", "b", "c")
+    private val membership = Membership(VmId("a"), LEASE, LEASE / 10, started = 0)
+    private val guard = EvictGuard(VmId("a"), membership, Incarnation(1))
+    private val now = 2 * LEASE
+    private val owned = engineWith(rank = 0)
+    private val standby = engineWith(rank = 1)
+    private val foreign = engineWith(rank = 2)
+
+    init {
+        val sent = ArrayDeque(membership.adopt(list, 0))
+        for (time in 0..now step LEASE / 10) {
+            sent += membership.tick(time)
+            while (sent.isNotEmpty()) ack(sent.removeFirst(), time)
+        }
+    }
+
+    private fun engineWith(rank: Int): BackendServerId = generateSequence(1) { it + 1 }
+        .map { BackendServerId("e$it") }
+        .first { OwnershipRanking.rank(it, list.vms).indexOf(VmId("a")) == rank }
+
+    private fun ack(envelope: Envelope, time: Long) {
+        val beat = envelope.message as Heartbeat
+        membership.receive(envelope.to, HeartbeatAck(beat.sequence, list.revision, none), none, time)
+    }
+
+    private fun idleReport() {
+        guard.reported(owned, Incarnation(9), 1, emptyMap())
+        val mark = guard.orderGiven(owned)
+        guard.orderAcknowledged(mark, 5)
+        guard.reported(owned, Incarnation(9), 5, emptyMap())
+    }
+
+    private fun EvictTicket.answer(from: String, consent: Boolean = true, life: Long = 1, at: Long = now) =
+        guard.receive(VmId(from), EvictAnswer(server, adapter, order, list.revision, consent, Incarnation(life)), at)
+
+    private fun readyTicket(): EvictTicket {
+        val ticket = guard.ask(owned, adapter, now).ticket
+        listOf("b", "c").forEach { ticket.answer(it) }
+        idleReport()
+        return ticket
+    }
+
+    private fun verdict(ticket: EvictTicket, at: Long = now): String = guard.verdict(ticket, at)::class.simpleName!!
+
+    @Nested
+    inner class `a request may start` {
+        @ParameterizedTest
+        @CsvSource("0, 0, true", "1, 0, true", "2, 0, false", "0, 1000, false")
+        fun `at owner and standby while the lease is held`(rank: Int, later: Long, may: Boolean) {
+            val server = listOf(owned, standby, foreign)[rank]
+            expectThat(guard.mayStart(server, adapter, now + later * MILLI)).isEqualTo(may)
+        }
+
+        @ParameterizedTest
+        @CsvSource("REFUSES, 0, true", "REFUSES, 1, true", "REFUSES, 2, false", "EVICTS, 0, false")
+        fun `and a load only where it cannot evict`(whenFull: WhenFull, rank: Int, may: Boolean) {
+            expectThat(guard.mayLoad(listOf(owned, standby, foreign)[rank], whenFull, now)).isEqualTo(may)
+        }
+
+        @ParameterizedTest
+        @CsvSource("7, true", "8, true", "6, false")
+        fun `again after a consent ended with its own number or a later one`(done: Long, may: Boolean) {
+            guard.receive(VmId("b"), EvictAsk(standby, adapter, 7, list.revision), now)
+            expectThat(guard.mayStart(standby, adapter, now)).isFalse()
+            guard.receive(VmId("b"), EvictDone(standby, adapter, done), now)
+            expectThat(guard.mayStart(standby, adapter, now)).isEqualTo(may)
+        }
+    }
+
+    @Nested
+    inner class `an ask` {
+        @ParameterizedTest
+        @CsvSource("1, false, b, true", "2, false, b, false", "1, true, b, false", "1, false, z, false")
+        fun `is consented to with the same list and no use`(
+            revision: Long,
+            inUse: Boolean,
+            from: String,
+            consent: Boolean,
+        ) {
+            if (inUse) guard.started(standby, adapter, RequestId("r"))
+            val answer = guard.receive(
+                VmId(from),
+                EvictAsk(standby, adapter, 1, ListRevision(revision)),
+                now,
+            ).single().message
+            expectThat(answer).isA<EvictAnswer>().get { this.consent }.isEqualTo(consent)
+        }
+
+        @Test
+        fun `older than the last done is ignored`() {
+            guard.receive(VmId("b"), EvictDone(standby, adapter, 7), now)
+            expectThat(guard.receive(VmId("b"), EvictAsk(standby, adapter, 7, list.revision), now)).isEmpty()
+            expectThat(guard.mayStart(standby, adapter, now)).isTrue()
+        }
+    }
+
+    @Nested
+    inner class `an evict` {
+        @ParameterizedTest
+        @CsvSource(
+            "'b,c', '',  Ready",
+            "'b',   'c', Ready",
+            "'b',   '',  Waiting",
+            "'',    'b,c', Ready",
+        )
+        fun `needs a consent or a pass of every other VM`(consents: String, passes: String, verdict: String) {
+            val ticket = guard.ask(owned, adapter, now).ticket
+            consents.split(",").filter { it.isNotEmpty() }.forEach { ticket.answer(it) }
+            passes.split(",").filter { it.isNotEmpty() }.forEach {
+                guard.receive(VmId(it), Pass(owned, list.revision, Incarnation(1)), now)
+            }
+            idleReport()
+            expectThat(verdict(ticket)).isEqualTo(verdict)
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = ["own use", "refusal", "lease", "new list", "not owner"])
+        fun `is refused`(cause: String) {
+            val ticket = if (cause == "not owner") guard.ask(standby, adapter, now).ticket else readyTicket()
+            if (cause == "own use") guard.started(owned, adapter, RequestId("r"))
+            if (cause == "refusal") ticket.answer("b", consent = false)
+            if (cause == "new list") membership.adopt(vmList(2, "a", "b", "c"), now)
+            val at = if (cause == "lease") now + LEASE else now
+            expectThat(verdict(ticket, at)).isEqualTo("Refused")
+        }
+
+        @Test
+        fun `waits when a consent has grown old and asks with a new number`() {
+            val ticket = readyTicket()
+            val first = ticket.order
+            val later = now + LEASE / 2
+            membership.tick(later).forEach { ack(it, later) }
+            val last = now + LEASE
+            membership.tick(last).forEach { ack(it, last) }
+            expectThat(verdict(ticket, last)).isEqualTo("Waiting")
+            guard.retryAsks(last)
+            expectThat(ticket.order > first).isTrue()
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = ["no order", "old report", "in use", "peer restarted", "engine restarted"])
+        fun `waits for evidence`(cause: String) {
+            val ticket = if (cause == "no order") guard.ask(owned, adapter, now).ticket else readyTicket()
+            listOf("b", "c").forEach { ticket.answer(it) }
+            if (cause == "old report") {
+                ticket.answer("b", life = 2)
+                guard.orderAcknowledged(guard.orderGiven(owned), 9)
+                guard.reported(owned, Incarnation(9), 8, emptyMap())
+            }
+            if (cause == "in use") guard.reported(owned, Incarnation(9), 6, mapOf(adapter to 1))
+            if (cause == "peer restarted") ticket.answer("b", life = 2)
+            if (cause == "engine restarted") guard.reported(owned, Incarnation(10), 9, emptyMap())
+            expectThat(verdict(ticket)).isEqualTo("Waiting")
+        }
+    }
+
+    @Nested
+    inner class `a lost answer to an evict` {
+        @ParameterizedTest
+        @CsvSource("true, true", "false, false")
+        fun `blocks until a later order only where the fence is checked`(checked: Boolean, free: Boolean) {
+            val ticket = readyTicket()
+            guard.sent(ticket)
+            guard.unanswered(ticket, fenceChecked = checked)
+            expectThat(guard.mayStart(owned, adapter, now)).isFalse()
+            val done = guard.orderAcknowledged(guard.orderGiven(owned), 9)
+            expectThat(done.any { it.message is EvictDone }).isEqualTo(free)
+            expectThat(guard.mayStart(owned, adapter, now)).isEqualTo(free)
+        }
+
+        @Test
+        fun `ends with a restart of the engine`() {
+            val ticket = readyTicket()
+            guard.sent(ticket)
+            guard.unanswered(ticket, fenceChecked = false)
+            expectThat(guard.engineRestarted(owned).map { it.to.value }).isEqualTo(listOf("b", "c"))
+            expectThat(guard.mayStart(owned, adapter, now)).isTrue()
+        }
+    }
+
+    @Test
+    fun `a consent that nobody ended is told again, and ended by an asker that knows no such order`() {
+        guard.receive(VmId("b"), EvictAsk(standby, adapter, 7, list.revision), now)
+        val told = guard.retryAsks(now + LEASE).single()
+        expectThat(told.message).isA<EvictAnswer>().get { order }.isEqualTo(7)
+        val reply = guard.receive(VmId("b"), EvictAnswer(owned, adapter, 7, list.revision, true, Incarnation(1)), now)
+        expectThat(reply.single().message).isEqualTo(EvictDone(owned, adapter, 7))
+    }
+
+    @Test
+    fun `passes go to owners of engines outside the ranking, once a lease time`() {
+        val engines = listOf(owned, standby, foreign)
+        val owner = OwnershipRanking.rank(foreign, list.vms).first()
+        expectThat(
+            guard.passesDue(engines, now),
+        ).isEqualTo(listOf(Envelope(owner, Pass(foreign, list.revision, Incarnation(1)))))
+        expectThat(guard.passesDue(engines, now)).isEmpty()
+    }
+}
--- /dev/null
+++ b/apricotslip-safety/src/test/kotlin/io/apricotslip/safety/RulesTest.kt
@@ -0,0 +1,162 @@
+package io.apricotslip.safety
+
+import com.github.michaelbull.result.get
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.FenceNumber
+import io.apricotslip.api.id.ListRevision
+import io.apricotslip.api.id.VmId
+import io.apricotslip.api.manifest.ManifestText
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
+import strikt.assertions.isLessThan
+
+class RulesTest {
+    @Nested
+    inner class `ownership ranking` {
+        private val servers = (1..4000).map { BackendServerId("e$it") }
+
+        @Test
+        fun `it does not change between versions`() {
+            val ranked = OwnershipRanking.rank(BackendServerId("e1"), vmList(1, "a", "b", "c").vms)
+            expectThat(ranked.map { it.value }).isEqualTo(GOLDEN)
+        }
+
+        @Test
+        fun `owners are in proportion to weight`() {
+            val vms = listOf(vm("a", 1.0), vm("b", 3.0))
+            val share = servers.count { OwnershipRanking.rank(it, vms).first() == VmId("b") } / 4000.0
+            expectThat(share).isIn(0.72..0.78)
+        }
+
+        @Test
+        fun `only engines of a VM that leaves change their owner`() {
+            val all = vmList(1, "a", "b", "c").vms
+            val left = vmList(2, "a", "b").vms
+            val moved = servers.filter {
+                OwnershipRanking.rank(it, all).first() !=
+                    OwnershipRanking.rank(it, left).first()
+            }
+            expectThat(moved.filter { OwnershipRanking.rank(it, all).first() != VmId("c") }).hasSize(0)
+        }
+    }
+
+    @Nested
+    inner class `fence numbers` {
+        private val engine = BackendServerId("e")
+        private val counter = FenceCounter()
+
+        @ParameterizedTest
+        @CsvSource("2097200, Retry", "3145729, Stop", "1048600, Retry")
+        fun `a refused order is given again unless a newer list is in use`(highest: Long, advice: String) {
+            counter.next(engine, ListRevision(2))
+            val given = counter.stale(engine, FenceNumber(highest), ListRevision(2))
+            expectThat(given::class.simpleName).isEqualTo(advice)
+            if (given == FenceAdvice.Retry) {
+                expectThat(counter.next(engine, ListRevision(2)).value).isGreaterThan(highest)
+            }
+        }
+
+        @Test
+        fun `they grow within a list and over lists`() {
+            val numbers = listOf(1L, 1L, 2L, 2L, 3L).map { counter.next(engine, ListRevision(it)).value }
+            expectThat(numbers.zipWithNext().filter { (a, b) -> a >= b }).hasSize(0)
+        }
+    }
+
+    @Nested
+    inner class `reservations` {
+        private val membership = Membership(VmId("a"), LEASE, LEASE / 10, started = 0)
+        private val calls = Reservations(VmId("a"), membership, SKEW_MILLIS, retentionMillis = 60_000, maxKeys = 3)
+        private val wall = 1_700_000_000_000L
+        private val now = 10 * LEASE
+
+        init {
+            membership.adopt(vmList(1, "a"), 0)
+            membership.leaseHeld(2 * LEASE)
+        }
+
+        private fun begin(mintedAgo: Long, tail: Long = 1) = calls.begin(uuid7(wall - mintedAgo, tail), wall, now)
+
+        @ParameterizedTest
+        @CsvSource(
+            "0, Run",
+            "7700, Run",
+            "7800, BeforeTenure",
+            "59999, BeforeTenure",
+            "60000, Expired",
+            "-200, Run",
+            "-201, FromFuture",
+        )
+        fun `the age of the key decides`(mintedAgo: Long, decision: String) {
+            expectThat(begin(mintedAgo)::class.simpleName).isEqualTo(decision)
+        }
+
+        @ParameterizedTest
+        @CsvSource("not-a-key", "1-1-7000-8000-1", "0191e8a0-0000-4000-8000-000000000000")
+        fun `other keys than UUID version 7 are refused`(key: String) {
+            expectThat(calls.begin(key, wall, now)).isA<ReservationDecision.BadKey>()
+        }
+
+        @Test
+        fun `a repeat is answered from memory`() {
+            val key = uuid7(wall, 1)
+            val answer = StoredAnswer.Completed(201, "application/json", "{}")
+            calls.begin(key, wall, now)
+            expectThat(calls.begin(key, wall, now)).isEqualTo(ReservationDecision.InProgress)
+            calls.completed(key, answer)
+            expectThat(calls.begin(key.uppercase(), wall, now)).isEqualTo(ReservationDecision.Repeat(answer))
+        }
+
+        @Test
+        fun `a lost answer is unknown for ever and a call not run may be tried again`() {
+            val (lost, never) = listOf(uuid7(wall, 1), uuid7(wall, 2))
+            listOf(lost, never).forEach { calls.begin(it, wall, now) }
+            calls.unknown(lost)
+            calls.notRun(lost)
+            calls.notRun(never)
+            expectThat(calls.begin(lost, wall, now)).isEqualTo(ReservationDecision.Repeat(StoredAnswer.Unknown))
+            expectThat(calls.begin(never, wall, now)).isEqualTo(ReservationDecision.Run)
+        }
+
+        @Test
+        fun `keys dropped for lack of memory never run again`() {
+            (0L..9L).forEach { begin(mintedAgo = 100 - it, tail = it) }
+            expectThat(calls.size).isLessThan(4)
+            expectThat(begin(mintedAgo = 100, tail = 0)).isEqualTo(ReservationDecision.Expired)
+        }
+    }
+
+    @Nested
+    inner class `manifest shelf` {
+        private fun text(revision: Long) = """{"revision":$revision,"models":[],"adapters":[],"engines":[],
+                "store":{"loadsPerSecond":1.0,"fullSpeedInFlight":1,"maxInFlight":1}}"""
+
+        @ParameterizedTest
+        @CsvSource("'1,2', 2", "'2,1', 2", "'2,0,3', 3", "'3,3', 3", "'0', 0")
+        fun `only a higher valid revision is taken`(offered: String, inForce: Long) {
+            val shelf = ManifestShelf()
+            offered.split(",").forEach { shelf.offer(text(it.toLong()), it.toLong(), "platform", 0) }
+            expectThat(shelf.revision.value).isEqualTo(inForce)
+        }
+
+        @Test
+        fun `refused ones are remembered once and bounded`() {
+            val shelf = ManifestShelf(maxRefused = 2)
+            listOf(1L, 1L, 2L, 3L).forEach { shelf.offer("{", it, "platform", it) }
+            expectThat(shelf.refused.map { it.publishedRevision }).isEqualTo(listOf(3L, 2L))
+            expectThat(ManifestText.read(text(1)).get()?.revision?.value).isEqualTo(1)
+        }
+    }
+
+    private companion object {
+        val GOLDEN = listOf("a", "b", "c")
+    }
+}
