--- /dev/null
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/StoreShares.kt
@@ -0,0 +1,84 @@
+package io.apricotslip.core.fleet
+
+import io.apricotslip.api.fleet.VmList
+import io.apricotslip.api.id.VmId
+import io.apricotslip.api.manifest.StoreEntry
+import io.apricotslip.core.link.Links
+import io.apricotslip.core.loop.NodeLoop
+import io.apricotslip.rules.store.LoadUrgency
+import io.apricotslip.rules.store.LoanAsk
+import io.apricotslip.rules.store.StoreBudget
+import io.apricotslip.rules.store.StoreDemand
+import io.apricotslip.rules.store.StoreShare
+import io.apricotslip.wire.Message
+
+/**
+ * This node's part of the weight store's rate, sized by its weight on the list, and loans between nodes. Used on the
+ * loop.
+ */
+internal class StoreShares(private val self: VmId, private val loop: NodeLoop, private val links: Links) :
+    StoreBudget {
+    private var entry: StoreEntry? = null
+    private var part = 0.0
+    private var share: StoreShare? = null
+    private var peers: List<VmId> = emptyList()
+
+    /** Follows the manifest's statement of the store. */
+    fun follow(store: StoreEntry) {
+        if (store == entry) return
+        entry = store
+        share =
+            StoreShare(
+                loadsPerSecond = store.loadsPerSecond,
+                fullSpeedInFlight = store.fullSpeedInFlight,
+                maxInFlight = store.maxInFlight,
+                share = part,
+            )
+    }
+
+    /** Follows the list of VMs. */
+    fun follow(list: VmList) {
+        val live = list.live()
+        val own = live.firstOrNull { it.id == self }?.weight ?: 0.0
+        part = if (own > 0) own / live.sumOf { it.weight } else 0.0
+        peers = live.map { it.id }.filter { it != self }
+        share?.resize(part, loop.now())
+    }
+
+    /** Asks the peers for loads that this node lacks. */
+    fun tick() {
+        val ask = share?.ask(loop.now()) ?: return
+        val message = Message.TokenAsk(ask.wanted, ask.urgency.ordinal, ask.waitedMillis)
+        peers.forEach { links.send(it, message) }
+    }
+
+    /** Handles a message about loans; returns whether it was one. */
+    fun receive(from: VmId, message: Message): Boolean {
+        when (message) {
+            is Message.TokenAsk -> lend(from, message)
+            is Message.TokenLoan -> share?.borrowed(message.tokens, loop.now())
+            else -> return false
+        }
+        return true
+    }
+
+    override fun tryTake(now: Long): Boolean = share?.tryTake(now) ?: false
+
+    override fun tryTake(now: Long, demand: StoreDemand): Boolean = share?.tryTake(now, demand) ?: false
+
+    override fun want(now: Long, demand: StoreDemand) {
+        share?.want(now, demand)
+    }
+
+    override fun ended(now: Long) {
+        share?.ended(now)
+    }
+
+    override fun nextAt(now: Long): Long = share?.nextAt(now) ?: Long.MAX_VALUE
+
+    private fun lend(from: VmId, ask: Message.TokenAsk) {
+        val urgency = LoadUrgency.entries.getOrNull(ask.urgency) ?: return
+        val lent = share?.lend(LoanAsk(ask.wanted, urgency, ask.waitedMillis), loop.now()) ?: return
+        if (lent > 0.0) links.send(from, Message.TokenLoan(lent))
+    }
+}
