--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/Deployment.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/Deployment.kt
@@ -34,7 +34,7 @@
         vms = 7,
         store = StoreEntry(loadsPerSecond = 5.5, fullSpeedInFlight = 2, maxInFlight = 16),
         hopNanos = 1_000_000,
-        kinds = List(4) { EngineKind.OLD } + List(6) { EngineKind.MIDDLE } + List(3) { EngineKind.NEW },
+        kinds = List(4) { EngineKind.SLOW } + List(6) { EngineKind.MEDIUM } + List(3) { EngineKind.FAST },
         mix =
         listOf(
             ClassMix(WorkClass.INTERACTIVE, part = 0.65, meanTokens = 60, deadlineSeconds = 30),
@@ -48,7 +48,7 @@
         vms = 6,
         store = StoreEntry(loadsPerSecond = 2.0, fullSpeedInFlight = 1, maxInFlight = 8),
         hopNanos = 500_000,
-        kinds = List(2) { EngineKind.OLD } + List(2) { EngineKind.MIDDLE } + List(2) { EngineKind.NEW },
+        kinds = List(2) { EngineKind.SLOW } + List(2) { EngineKind.MEDIUM } + List(2) { EngineKind.FAST },
         mix =
         listOf(
             ClassMix(WorkClass.INTERACTIVE, part = 0.40, meanTokens = 80, deadlineSeconds = 30),
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreShareOptions.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreShareOptions.kt
@@ -14,8 +14,8 @@
 public data class StoreShareOptions(
     public val growDelayMillis: Long = 5_000,
     public val demandMillis: Long = 150,
-    public val askPauseMillis: Long = 20,
-    public val yieldMillis: Long = 20,
+    public val askPauseMillis: Long = 10,
+    public val yieldMillis: Long = 10,
     public val savedForDemand: Double = 1.5,
     public val keptForInteractive: Double = 1.0,
 )
