--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
@@ -49,6 +49,8 @@
     private var storeNextAt = Long.MAX_VALUE
     private var decidedAt = 0L
 
+    override val residents: Set<AdapterVersion> get() = use.adapters
+
     override fun enqueue(work: Work, now: Long) {
         popularity.add(work.adapter, weight(work), now)
         waiting.add(work)
--- /dev/null
+++ b/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/PolicySettings.kt
@@ -0,0 +1,13 @@
+package io.apricotslip.settings
+
+import kotlinx.serialization.Serializable
+
+/** Decisions under load. */
+@Serializable
+public data class PolicySettings(
+    public val goal: Goal = Goal.LOAD_STALLS,
+    public val popularityHalfLifeMillis: Long = 900_000,
+    public val deferrableMaxWaitMillis: Long = 600_000,
+    public val loadBackoffMillis: Long = 500,
+    public val maxLoadBackoffMillis: Long = 15_000,
+)
