End a drain when the work that waited for the slot is gone

Cause: an adapter that was being freed for other work stayed held after that work was refused or went elsewhere, so its own requests waited to their deadline on an engine with nothing to do (whole path's test: two requests of notes@v2, resident, 30 s). Ruled out: the guard (no block), the batch (0 running). The new table case failed before ([] instead of start r3).

--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
@@ -115,6 +115,7 @@
         val actions = ArrayList<EngineAction>()
         refuseOverflow(actions)
         refuseExpired(now, actions)
+        if (drain.adapter != null && (!ordersAllowed || loads.next(now) == null)) drain.end()
         startWork(now, actions)
         if (ordersAllowed) orderLoads(now, budget, actions)
         storeNextAt = budget.nextAt(now)
--- a/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/engine/AdapterSchedulerTest.kt
+++ b/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/engine/AdapterSchedulerTest.kt
@@ -215,6 +215,19 @@
             expectThat(scheduler.turn(3)).containsExactly("evict b")
         }
 
+        @Test
+        fun `an adapter is started again once the work that waited for its slot is gone`() {
+            val scheduler = scheduler(slots = 1)
+            scheduler.reside("a")
+            scheduler.enqueue(work("r1", "a", WorkClass.INTERACTIVE), 0)
+            scheduler.turn(0)
+            scheduler.enqueue(work("r2", "b", WorkClass.INTERACTIVE), 0)
+            scheduler.turn(20)
+            scheduler.cancel(RequestId("r2"), 20 * SECOND)
+            scheduler.enqueue(work("r3", "a", WorkClass.INTERACTIVE, at = 21), 21 * SECOND)
+            expectThat(scheduler.turn(21)).containsExactly("start r3")
+        }
+
         @Test
         fun `a cold restart leaves nothing resident`() {
             val scheduler = full()
