Test the ready settings and late calls of frozen stand-ins

Cause: config and vms of the ready settings were not read by any test, and the safety tests will rest on calls that run after their caller has left.

--- a/apricotslip-standins/src/test/kotlin/io/apricotslip/standins/http/StandinHttpTest.kt
+++ b/apricotslip-standins/src/test/kotlin/io/apricotslip/standins/http/StandinHttpTest.kt
@@ -32,6 +32,7 @@
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.function.BiPredicate
 
 @Timeout(60)
 class StandinHttpTest {
@@ -253,5 +254,19 @@
             expectThat(get(b.adminPort, "/admin/runs").body()).contains("""{"key":"k1","runs":1},{"key":"k2"""")
             expectThat(get(b.port, "/v1/availability").statusCode()).isEqualTo(200)
         }
+
+        @Test
+        fun `a call that comes while it is frozen runs late, also when its caller has left`() {
+            val b = start(StandinKind.BOOKING, """"answerMillis": 0""")
+            post(b.adminPort, "/admin/freeze?millis=1500")
+            val impatient = HttpRequest.newBuilder(
+                call("POST", b.port, "/v1/reservations", "{}", key = "k1"),
+                ANY_HEADER,
+            )
+            assertThrows<IOException> { send(impatient.timeout(Duration.ofMillis(200)).build()) }
+            expectThat(get(b.adminPort, "/admin/runs").body()).contains("""{"key":"k1","runs":1}""")
+        }
     }
 }
+
+private val ANY_HEADER = BiPredicate<String, String> { _, _ -> true }
--- a/apricotslip-standins/src/test/kotlin/io/apricotslip/standins/settings/SettingsTest.kt
+++ b/apricotslip-standins/src/test/kotlin/io/apricotslip/standins/settings/SettingsTest.kt
@@ -1,12 +1,15 @@
 package io.apricotslip.standins.settings
 
 import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
 import io.apricotslip.standins.StandinKind
 import io.apricotslip.standins.Standins
+import kotlinx.serialization.KSerializer
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.containsExactlyInAnyOrder
@@ -53,6 +56,29 @@
         }
     }
 
+    @Nested
+    inner class `given the ready settings` {
+        @ParameterizedTest
+        @ValueSource(strings = ["tandemratas", "llyn"])
+        fun `all are valid, and no port is used twice`(deployment: String) {
+            fun <T : Checked> read(name: String, serializer: KSerializer<T>): T {
+                val text = File("src/main/settings/$deployment/$name.json").readText()
+                return SettingsText.read(text, serializer).getOrElse { error("$name: $it") }
+            }
+            val single = listOf(
+                read("store", StoreSettings.serializer()),
+                read("config", ConfigSettings.serializer()),
+                read("vms", VmsSettings.serializer()),
+            )
+            val all = single + read("engines", EngineListSettings.serializer()).engines +
+                read("bookings", BookingListSettings.serializer()).replicas
+            val vms = single.filterIsInstance<VmsSettings>().single().vms
+            val ports = all.flatMap { listOf(it.port, it.admin.port) } + vms.map { it.port }
+            expectThat(ports.distinct()).isEqualTo(ports)
+            expectThat(vms.size in 6..7).isEqualTo(true)
+        }
+    }
+
     @Nested
     inner class `given several faults` {
         @Test
