Say how to use standin without arguments, and why it cannot listen in one line

Cause: without a kind it ended silently with 0, and a failed bind logged a stack trace over several lines.

Run: verify of the module, 119 tests, 0 failures; both cases by hand.

--- a/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standin.kt
+++ b/apricotslip-standins/src/main/kotlin/io/apricotslip/standins/Standin.kt
@@ -28,7 +28,7 @@
     val parser = ArgParser("standin")
     StandinKind.entries.forEach { parser.subcommands(StartCommand(it)) }
     parser.subcommands(ManifestCommand())
-    parser.parse(args)
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
 
 private class StartCommand(private val kind: StandinKind) : Subcommand(kind.label, "Runs the stand-in: ${kind.label}") {
@@ -49,7 +49,7 @@
     }
 
     private fun fail(e: Throwable): Nothing {
-        Logger.error(e) { "event=start_failed kind=${kind.label} step=listen reason=\"${e.message}\"" }
+        Logger.error { "event=start_failed kind=${kind.label} step=listen reason=\"${e.message}\"" }
         exitProcess(EXIT_START)
     }
 
