--- a/apricotslip-spec/src/main/tla/Evict.tla
+++ b/apricotslip-spec/src/main/tla/Evict.tla
@@ -5,6 +5,7 @@
 EXTENDS Membership
 
 CONSTANTS Owner, Standby, \* first and second of the ranking under each list           (OwnershipRanking)
+          Starters,       \* VMs that get requests
           MaxOrders,      \* VM -> most asks
           MaxLost,        \* most evict orders in flight whose answer is lost
           FenceChecked,   \* the engine refuses old fencing numbers
@@ -78,7 +79,7 @@
 
 (* EvictGuard.mayStart; where OrdersLinger, only after an own order was acknowledged: EvictGuard.olderOrdersShutOut. *)
 MayStart(x) ==
-  /\ Role(x) /\ Lease(x) /\ x \notin run /\ \A w \in VMs : block[x][w] = 0
+  /\ x \in Starters /\ Role(x) /\ Lease(x) /\ x \notin run /\ \A w \in VMs : block[x][w] = 0
   /\ ticket[x].state \in {"none", "asking"}
   /\ (OrdersLinger /\ On("shutOut")) => proof[x] > 0
 Check(x) ==
@@ -207,6 +208,7 @@
   /\ msgs' = msgs \cup {<<"done", w, ticket[w].last>> : w \in {v \in VMs : ticket[v].state = "lost"}}
   /\ UNCHANGED <<membership, checked, bad, block, lastDone, orders, seen, passed>>
 
+(* The owner of the first list holds the passes of the others, and evidence. *)
 Init ==
   /\ InitMembership
   /\ run = {} /\ orphan = FALSE /\ checked = {} /\ late = {} /\ bad = FALSE
@@ -215,9 +217,9 @@
   /\ ticket = [x \in VMs |-> NoTicket]
   /\ orders = [x \in VMs |-> 0]
   /\ seen = block
-  /\ passed = [x \in VMs |-> {}]
-  /\ proof = [x \in VMs |-> 0]
-  /\ msgs = {}
+  /\ passed = [x \in VMs |-> IF x = Owner[1] THEN Members[1] \ {x, Standby[1]} ELSE {}]
+  /\ proof = [x \in VMs |-> IF x = Owner[1] THEN 2 ELSE 0]
+  /\ msgs = {<<"pass", x, 1, 0>> : x \in Members[1] \ {Owner[1], Standby[1]}}
 
 Next ==
   \/ Tick \/ OrphanEnds \/ EngineRestart
