--- a/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/engine/AdapterSchedulerTest.kt
+++ b/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/engine/AdapterSchedulerTest.kt
@@ -225,6 +225,44 @@
         }
     }
 
+    @Nested
+    inner class `given deferrable work` {
+        private fun AdapterScheduler.defer(vararg adapters: String) = adapters.forEachIndexed { i, name ->
+            enqueue(work("$name$i", name, WorkClass.DEFERRABLE), 0)
+        }
+
+        @ParameterizedTest
+        @CsvSource("8, load a", "2, load c")
+        fun `the largest group is loaded while the batch has room and the smallest while it is full`(
+            batch: Int,
+            load: String,
+        ) {
+            budget.loads = 1
+            val scheduler = scheduler(slots = 8, batch, SchedulerOptions(interactiveReserve = 0.0))
+            scheduler.reside("x")
+            scheduler.defer("x", "x", "a", "a", "a", "b", "b", "c")
+            expectThat(scheduler.turn(0)).containsExactly("start x0", "start x1", load)
+        }
+
+        @Test
+        fun `a slot is left to urgent work`() {
+            val scheduler = scheduler(slots = 2)
+            scheduler.defer("a", "b", "c")
+            expectThat(scheduler.turn(0)).containsExactly("load a")
+            scheduler.enqueue(work("r0", "d", WorkClass.INTERACTIVE), 0)
+            expectThat(scheduler.turn(0)).containsExactly("load d")
+        }
+
+        @Test
+        fun `it is treated as a plan when its deadline is near`() {
+            budget.loads = 1
+            val scheduler = scheduler()
+            scheduler.enqueue(work("r0", "a", WorkClass.PLAN, 9), 9 * SECOND)
+            scheduler.enqueue(work("r1", "b", WorkClass.DEFERRABLE, 0, 200), 0)
+            expectThat(scheduler.turn(9)).containsExactly("load b")
+        }
+    }
+
     @Nested
     inner class `given work that can't be served` {
         @Test
--- a/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/placement/AdapterPlacementTest.kt
+++ b/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/placement/AdapterPlacementTest.kt
@@ -13,6 +13,7 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
 import strikt.assertions.isNotEqualTo
 
 class AdapterPlacementTest {
@@ -67,6 +68,51 @@
         }
     }
 
+    @Nested
+    inner class `given deferrable work` {
+        private fun deferrable(number: Int) = PlacementRequest(adapter(number), WorkClass.DEFERRABLE, 100)
+
+        @Test
+        fun `homes are spread in proportion to speed`() {
+            engines.forEach {
+                placement.learn(
+                    status(
+                        it.id,
+                        0,
+                        emptyList(),
+                        if (it.id.value ==
+                            "e3"
+                        ) {
+                            800.0
+                        } else {
+                            200.0
+                        },
+                    ),
+                    0,
+                )
+            }
+            val homes = (1..4_000).groupingBy { placement.rank(deferrable(it), engines, 0).first().value }.eachCount()
+            expectThat(homes.getValue("e3").toDouble()).isIn(1_800.0..2_200.0)
+        }
+
+        @Test
+        fun `an engine with far more than the mean backlog is no home`() {
+            val home = placement.rank(deferrable(1), engines, 0).first()
+            engines.forEach { placement.learn(status(it.id, if (it.id == home) 50 else 5, emptyList()), 0) }
+            expectThat(placement.rank(deferrable(1), engines, 0).first()).isNotEqualTo(home)
+        }
+    }
+
+    @Nested
+    inner class `given an engine that can't evict` {
+        @Test
+        fun `it is no home for an adapter that it lacks`() {
+            val home = placement.rank(request(1), engines, 0).first()
+            placement.learn(status(home, 0, emptyList()).copy(evictable = false), 0)
+            expectThat(placement.rank(request(1), engines, 0).first()).isNotEqualTo(home)
+        }
+    }
+
     @Nested
     inner class `given engines of different speed that have the adapter` {
         @Test
