--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOrders.kt
@@ -31,6 +31,7 @@
     private val pendingLoads = mutableListOf<PendingEvict>()
 
     private var inFlight = 0
+    private val loading = HashSet<AdapterVersion>()
     private var touching = false
 
     /** Whether an order of this node may not show in a report yet. */
@@ -42,6 +43,9 @@
 
     private class PendingEvict(val ticket: EvictTicket, val adapter: AdapterVersion, val since: Long)
 
+    /** Whether a load of [adapter] is under way or waits for consent. */
+    fun isLoading(adapter: AdapterVersion): Boolean = adapter in loading || pendingLoads.any { it.adapter == adapter }
+
     /** The engine restarted: its sequence begins anew. */
     fun engineRestarted() {
         lastSequence = 0
@@ -193,9 +197,11 @@
 
     private fun sendLoad(adapter: AdapterVersion, retries: Int, ended: () -> Unit) {
         inFlight++
+        loading += adapter
         val mark = ctx.guard.orderGiven(server)
         client.load(adapter, nextFence()).publishOn(ctx.loop.scheduler).subscribe { result ->
             inFlight--
+            loading -= adapter
             ctx.metrics.ordered("load", label(result))
             when (result) {
                 is OrderResult.Done -> loaded(adapter, mark, result.sequence)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -1,7 +1,6 @@
 package io.apricotslip.core.owner
 
 import io.apricotslip.api.id.AdapterVersion
-import io.apricotslip.api.id.Incarnation
 import io.apricotslip.api.id.RequestId
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.manifest.EngineEntry
@@ -11,7 +10,6 @@
 import io.apricotslip.api.outcome.Step
 import io.apricotslip.api.peer.EngineStatus
 import io.apricotslip.backends.engine.EngineClient
-import io.apricotslip.backends.engine.EngineReport
 import io.apricotslip.core.observe.HopSpans
 import io.apricotslip.rules.engine.EngineAction
 import io.apricotslip.rules.engine.EngineScheduler
@@ -35,15 +33,14 @@
     private val engine = client.engine
     private val orders = EngineOrders(ctx, client, scheduler, budget, ::pump)
     private val streams = OwnerStreams(ctx, client, ::ended)
-    private var incarnation: Long? = null
+    private val reports = EngineReports(ctx, client, scheduler, orders, ::pump)
     private var wake: Disposable? = null
     private var lastRole: Role = Role.None
     private var pumping = false
     private var pumpAgain = false
 
     /** Whether the engine answered its last report. */
-    var reachable: Boolean = false
-        private set
+    val reachable: Boolean get() = reports.reachable
 
     /** Set once the manifest withdrew the engine or says that it leaves, or this node stops: nothing new is started. */
     var leaving: Boolean = false
@@ -91,6 +88,7 @@
         if (role != lastRole) roleChanged(role)
         scheduler.orders(allowed = role != Role.None && ctx.membership.leaseHeld(ctx.loop.now()) && reachable)
         if (leaving || role == Role.None || !ctx.membership.leaseHeld(ctx.loop.now())) refuseWaiting()
+        if (role == Role.Standby) refuseWithoutRoom()
         streams.orphanedWaiting().forEach { if (scheduler.cancel(it.request, ctx.loop.now())) streams.drop(it.request) }
         streams.expire()
         pump()
@@ -98,17 +96,7 @@
 
     /** Asks the engine for a report. */
     fun poll() {
-        if (role() == Role.None && size == 0) return
-        client.report().publishOn(ctx.loop.scheduler).subscribe(::reported) { lost ->
-            if (reachable) {
-                Logger.warn(
-                    "event=engine_unreachable step=route peer={} reason=\"{}\"",
-                    engine.id,
-                    lost.message,
-                )
-            }
-            reachable = false
-        }
+        if (role() != Role.None || size > 0) reports.poll()
     }
 
     /** Does what the scheduler decides. A call from within a turn of itself is carried out after that turn. */
@@ -186,7 +174,7 @@
     /** Only the owner evicts: what waits for room here is refused as not run, and its entry VM asks elsewhere. */
     private fun refuseWithoutRoom() {
         if (scheduler.status(ctx.loop.now()).freeSlots > 0) return
-        refuseWaiting { it.adapter !in scheduler.residents }
+        refuseWaiting { it.adapter !in scheduler.residents && !orders.isLoading(it.adapter) }
     }
 
     private fun startOnEngine(action: EngineAction.Start) {
@@ -239,44 +227,6 @@
         ctx.links.send(from, Message.GenerateRefused(message.request, refusal))
     }
 
-    private fun reported(report: EngineReport) {
-        val now = ctx.loop.now()
-        val resident = report.adapters.filter { it.resident }.map { it.adapter }
-        if (report.incarnation != incarnation) restarted(report, resident, now) else reconcile(report, resident, now)
-        reachable = true
-        ctx.guard.reported(engine.id, Incarnation(report.incarnation), report.sequence, report.running())
-        scheduler.foreignUse(ctx.guard.foreignUse(engine.id), now)
-        if (mustTouch(now)) orders.touch(resident.firstOrNull())
-        pump()
-    }
-
-    private fun restarted(report: EngineReport, resident: List<AdapterVersion>, now: Long) {
-        val known = incarnation != null
-        incarnation = report.incarnation
-        if (known) {
-            Logger.warn("event=engine_restarted step=route peer={} incarnation={}", engine.id, report.incarnation)
-            ctx.links.send(ctx.guard.engineRestarted(engine.id))
-            orders.engineRestarted()
-        }
-        scheduler.reset(resident, now)
-    }
-
-    /** Corrects the own count by what other VMs loaded or evicted, unless an own order may not show yet. */
-    private fun reconcile(report: EngineReport, resident: List<AdapterVersion>, now: Long) {
-        if (orders.underWay || report.sequence < orders.lastSequence) return
-        val gone = scheduler.residents - resident.toSet()
-        gone.forEach { scheduler.evicted(it, now) }
-        val new = resident - scheduler.residents
-        new.forEach { scheduler.loaded(it, now) }
-        if (role() == Role.Owner && gone.size + new.size > 0) {
-            Logger.info("event=residents_corrected peer={} gone={} new={}", engine.id, gone.size, new.size)
-        }
-    }
-
-    /** Whether reports cannot be told to follow the former owner's orders yet. */
-    private fun mustTouch(now: Long): Boolean =
-        role() == Role.Owner && ctx.membership.leaseHeld(now) && !ctx.guard.olderOrdersShutOut(engine.id)
-
     private fun scheduleWake(at: Long, now: Long) {
         wake?.dispose()
         if (at == Long.MAX_VALUE) return
@@ -284,8 +234,6 @@
         wake = ctx.loop.after(millis, "engine_wake", ::pump)
     }
 
-    private fun EngineReport.running(): Map<AdapterVersion, Int> = adapters.associate { it.adapter to it.running }
-
     /** The engine as the manifest described it when this owner was made. */
     fun entry(): EngineEntry = engine
 
