--- a/apricotslip-spec/src/test/kotlin/io/apricotslip/spec/StateSpaces.kt
+++ b/apricotslip-spec/src/test/kotlin/io/apricotslip/spec/StateSpaces.kt
@@ -25,7 +25,6 @@
             lostOrder,
             lostOrder.copy(name = "EvictLostOrderNoFence", fenceChecked = false, fenceTrusted = false),
             replaced,
-            lingering,
             moving,
             manifest,
         )
@@ -33,6 +32,7 @@
     /** Searched whole by a documented command. */
     val large: List<Model> =
         listOf(
+            lingering,
             restarting,
             restarting.copy(
                 name = "EvictRestartingTwoLists",
