--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/Policies.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/Policies.kt
@@ -6,6 +6,7 @@
 import io.apricotslip.bench.baseline.RandomPlacement
 import io.apricotslip.rules.engine.AdapterScheduler
 import io.apricotslip.rules.engine.LoadOrder
+import io.apricotslip.rules.engine.SchedulerGoal
 import io.apricotslip.rules.engine.SchedulerOptions
 import io.apricotslip.rules.engine.VictimOrder
 import io.apricotslip.rules.placement.AdapterPlacement
@@ -35,6 +36,7 @@
             product("without loans", lending = false),
             product("nothing kept for interactive", share = StoreShareOptions(keptForInteractive = 0.0)),
             product("without preload") { it.copy(preload = false) },
+            product("urgent slots of the other goal") { it.copy(urgentSlots = otherUrgentSlots(it)) },
             product("without jitter", PlacementOptions(jitter = 0.0)),
         )
 
@@ -62,5 +64,10 @@
         AdapterScheduler(entry.id, entry.slots, entry.batch, entry.whenFull, settings, random)
     }
 
+    private fun otherUrgentSlots(options: SchedulerOptions): Double {
+        val others = SchedulerGoal.entries.first { it != options.goal }
+        return SchedulerOptions(goal = others).urgentSlots
+    }
+
     private const val QUEUE_LIMIT = 100_000
 }
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/SchedulerOptions.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/SchedulerOptions.kt
@@ -18,7 +18,7 @@
  * @property preloadMinPopularity decayed count of requests below which an adapter is not loaded ahead.
  * @property preloadGain how many times as popular as the victim an adapter must be to replace it ahead of need.
  * @property interactiveReserve part of the batch that deferrable work leaves free.
- * @property urgentSlots part of the slots that deferrable work leaves to the rest; at least one.
+ * @property urgentSlots part of the slots that deferrable work leaves to the rest; at least one slot.
  * @property loadedAhead adapters of deferrable work that may be resident before the batch has room for it.
  * @property startPauseMillis wait after the engine refused to start a request.
  * @property deferrablePopularity what a deferrable request counts in popularity; another counts 1.
@@ -32,7 +32,7 @@
     public val popularityHalfLifeMillis: Long = 900_000,
     public val loadBackoffMillis: Long = 500,
     public val maxLoadBackoffMillis: Long = 15_000,
-    public val planPromoteMillis: Long = 15_000,
+    public val planPromoteMillis: Long = 45_000,
     public val deferrableMaxWaitMillis: Long = 3_600_000,
     public val deadlineNearMillis: Long = 300_000,
     public val drainAfterMillis: Long = 1_000,
@@ -42,7 +42,7 @@
     public val preloadMinPopularity: Double = 0.5,
     public val preloadGain: Double = 2.0,
     public val interactiveReserve: Double = 0.125,
-    public val urgentSlots: Double = 0.125,
+    public val urgentSlots: Double = SchedulerDefaults.urgentSlots(goal),
     public val loadedAhead: Int = 4,
     public val startPauseMillis: Long = 50,
     public val deferrablePopularity: Double = 0.5,
