--- a/apricotslip-platform/src/test/kotlin/io/apricotslip/platform/HttpPlatformClientTest.kt
+++ b/apricotslip-platform/src/test/kotlin/io/apricotslip/platform/HttpPlatformClientTest.kt
@@ -2,24 +2,37 @@
 
 import io.apricotslip.api.id.ListRevision
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.reactivestreams.Publisher
 import reactor.core.publisher.Mono
 import reactor.netty.DisposableServer
 import reactor.netty.http.server.HttpServer
+import reactor.netty.http.server.HttpServerResponse
 import reactor.netty.http.server.HttpServerRoutes
+import strikt.api.expectCatching
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFailure
+import strikt.assertions.isTrue
+import strikt.assertions.startsWith
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 
 class HttpPlatformClientTest {
+    private val options =
+        PlatformOptions(watchMillis = 100, timeoutMillis = 300, retryMillis = 10, maxValueBytes = 1_000)
     private var server: DisposableServer? = null
 
     private fun client(routes: (HttpServerRoutes) -> Unit): HttpPlatformClient {
         val bound = HttpServer.create().host("127.0.0.1").port(0).route(routes).bindNow()
         server = bound
         val endpoint = PlatformEndpoint("127.0.0.1", bound.port())
-        return HttpPlatformClient(endpoint, endpoint, PlatformOptions(watchMillis = 100, retryMillis = 10))
+        return HttpPlatformClient(endpoint, endpoint, options)
     }
 
     @AfterEach
@@ -52,4 +65,40 @@
         expectThat(lists.orEmpty().map { it.revision })
             .containsExactly(ListRevision(1), ListRevision(5), ListRevision(6))
     }
+
+    @TestFactory
+    fun `a read that can't be had fails with the step and the address`() =
+        listOf<Pair<String, (HttpServerResponse) -> Publisher<Void>>>(
+            "not found" to { it.status(404).send() },
+            "too many calls" to { it.status(429).send() },
+            "no revision" to { it.sendString(Mono.just("text")) },
+            "a value too long" to { it.header("X-Revision", "1").sendString(Mono.just("x".repeat(2_000))) },
+            "a connection that goes silent" to { Mono.never() },
+            "half an answer" to { it.header("Content-Length", "9").sendString(Mono.just("x")).then(Mono.never()) },
+        ).map { (name, answer) ->
+            DynamicTest.dynamicTest(name) {
+                val client = client { routes -> routes.get("/v1/config/manifest") { _, out -> answer(out) } }
+                expectCatching { client.read("manifest").block() }.isFailure().isA<PlatformException>().and {
+                    get { step }.isEqualTo("read")
+                    get { peer }.startsWith("127.0.0.1:")
+                }
+                close()
+            }
+        }
+
+    @Test
+    fun `a watch on a connection that went silent goes on with a new one`() {
+        val calls = AtomicInteger()
+        val silenced = AtomicBoolean()
+        val client = client { routes ->
+            routes.get("/v1/vms") { request, out ->
+                val silent = "after=" in request.uri() && silenced.compareAndSet(false, true)
+                val list = """{"revision":${calls.incrementAndGet()},"vms":[]}"""
+                if (silent) Mono.never() else out.sendString(Mono.just(list))
+            }
+        }
+        val lists = client.watchList().take(2).collectList().block()
+        expectThat(lists.orEmpty()).hasSize(2)
+        expectThat(silenced.get()).isTrue()
+    }
 }
