--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/Policies.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/decide/Policies.kt
@@ -35,7 +35,6 @@
             product("speed-blind", PlacementOptions(speedAware = false)),
             product("without loans", lending = false),
             product("nothing kept for interactive", share = StoreShareOptions(keptForInteractive = 0.0)),
-            product("without preload") { it.copy(preload = false) },
             product("urgent slots of the other goal") { it.copy(urgentSlots = otherUrgentSlots(it)) },
             product("without jitter", PlacementOptions(jitter = 0.0)),
         )
@@ -53,7 +52,7 @@
         placement = { _, random -> placement(random) },
         scheduler =
         scheduler {
-            it.copy(loadOrder = LoadOrder.FIRST_COME, victimOrder = VictimOrder.LEAST_RECENT, preload = false)
+            it.copy(loadOrder = LoadOrder.FIRST_COME, victimOrder = VictimOrder.LEAST_RECENT)
         },
     )
 
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/AdapterScheduler.kt
@@ -8,9 +8,7 @@
 import io.apricotslip.api.peer.AdapterUse
 import io.apricotslip.api.peer.EngineStatus
 import io.apricotslip.api.work.WorkClass
-import io.apricotslip.rules.store.LoadUrgency
 import io.apricotslip.rules.store.StoreBudget
-import io.apricotslip.rules.store.StoreDemand
 import kotlin.math.max
 import kotlin.math.min
 import kotlin.random.Random
@@ -186,7 +184,7 @@
 
     private fun orderLoads(now: Long, budget: StoreBudget, actions: MutableList<EngineAction>) {
         while (true) {
-            val demand = loads.next(now) ?: return preload(now, budget, actions)
+            val demand = loads.next(now) ?: return
             if (use.free <= 0) return makeRoom(demand, now, budget, actions)
             if (!budget.tryTake(now, demand.toStore())) return
             use.load(demand.adapter)
@@ -204,15 +202,6 @@
         actions += EngineAction.Evict(victim)
     }
 
-    private fun preload(now: Long, budget: StoreBudget, actions: MutableList<EngineAction>) {
-        if (!options.preload || use.loads.isNotEmpty() || use.free <= 0) return
-        val adapter = popularity.best(now) { loads.isLoadable(it, now) } ?: return
-        if (popularity.of(adapter, now) < options.preloadMinPopularity) return
-        if (!budget.tryTake(now, StoreDemand(LoadUrgency.PRELOAD, now))) return
-        use.load(adapter)
-        actions += EngineAction.Load(adapter)
-    }
-
     private fun weight(work: Work): Double =
         if (work.workClass == WorkClass.DEFERRABLE) options.deferrablePopularity else 1.0
 
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/Popularity.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/Popularity.kt
@@ -18,9 +18,6 @@
 
     fun of(adapter: AdapterVersion, now: Long): Double = counts[adapter]?.let { decayed(it, now) } ?: 0.0
 
-    fun best(now: Long, eligible: (AdapterVersion) -> Boolean): AdapterVersion? =
-        counts.entries.filter { eligible(it.key) }.maxByOrNull { decayed(it.value, now) }?.key
-
     private fun decayed(count: Count, now: Long): Double =
         if (now <= count.at) count.value else count.value * 0.5.pow((now - count.at) / halfLifeNanos)
 
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/SchedulerOptions.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/engine/SchedulerOptions.kt
@@ -15,8 +15,6 @@
  * @property evictRefusedPauseMillis an adapter whose evict was refused is no victim for this time.
  * @property evictLeadMillis a victim is evicted this long before the store allows the next load.
  * @property loadMillis time that a load takes at full speed.
- * @property preloadMinPopularity decayed count of requests below which an adapter is not loaded ahead.
- * @property preloadGain how many times as popular as the victim an adapter must be to replace it ahead of need.
  * @property interactiveReserve part of the batch that deferrable work leaves free.
  * @property urgentSlots part of the slots that deferrable work leaves to the rest; at least one slot.
  * @property loadedAhead adapters of deferrable work that may be resident before the batch has room for it.
@@ -24,7 +22,6 @@
  * @property deferrablePopularity what a deferrable request counts in popularity; another counts 1.
  * @property loadOrder which waiting adapter is loaded next.
  * @property victimOrder which idle adapter is evicted first.
- * @property preload whether adapters are loaded ahead of need when the store is idle.
  */
 public data class SchedulerOptions(
     public val goal: SchedulerGoal = SchedulerGoal.LOAD_STALLS,
@@ -39,8 +36,6 @@
     public val evictRefusedPauseMillis: Long = 2_000,
     public val evictLeadMillis: Long = 20,
     public val loadMillis: Long = 250,
-    public val preloadMinPopularity: Double = 0.5,
-    public val preloadGain: Double = 2.0,
     public val interactiveReserve: Double = 0.125,
     public val urgentSlots: Double = SchedulerDefaults.urgentSlots(goal),
     public val loadedAhead: Int = 4,
@@ -48,5 +43,4 @@
     public val deferrablePopularity: Double = 0.5,
     public val loadOrder: LoadOrder = LoadOrder.WEIGHTED,
     public val victimOrder: VictimOrder = VictimOrder.POPULARITY,
-    public val preload: Boolean = true,
 )
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/LoadUrgency.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/LoadUrgency.kt
@@ -10,7 +10,4 @@
 
     /** Only deferrable work waits for it. */
     DEFERRABLE,
-
-    /** Nobody waits for it. */
-    PRELOAD,
 }
--- a/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/engine/AdapterSchedulerTest.kt
+++ b/apricotslip-rules/src/test/kotlin/io/apricotslip/rules/engine/AdapterSchedulerTest.kt
@@ -34,7 +34,7 @@
     private val budget = FakeBudget()
 
     private fun scheduler(slots: Int = 2, batch: Int = 4, options: SchedulerOptions = SchedulerOptions()) =
-        AdapterScheduler(BackendServerId("e1"), slots, batch, WhenFull.REFUSES, options.copy(preload = false))
+        AdapterScheduler(BackendServerId("e1"), slots, batch, WhenFull.REFUSES, options)
 
     private fun adapter(name: String) = AdapterVersion.parse("$name@v1")!!
 
