--- a/apricotslip-test-utils/src/main/kotlin/io/apricotslip/testutils/invariant/Invariants.kt
+++ b/apricotslip-test-utils/src/main/kotlin/io/apricotslip/testutils/invariant/Invariants.kt
@@ -13,6 +13,7 @@
             AtMostOneRun,
             NotRunDidNotRun,
             ManifestNeverReverts,
+            NothingHangs,
         )
 
     /** Violations of [invariants] in [history]. */
--- a/apricotslip-test-utils/src/test/kotlin/io/apricotslip/testutils/invariant/InvariantsTest.kt
+++ b/apricotslip-test-utils/src/test/kotlin/io/apricotslip/testutils/invariant/InvariantsTest.kt
@@ -197,6 +197,11 @@
                 "requests bound to an older one after a restart",
                 "vm-1 INVOKE revision=3\n---\nvm-1 INVOKE revision=2",
             ),
+            arguments(
+                "nothing-hangs",
+                "the caller gave up",
+                ASK + "caller REFUSED request=r1 certainty=unknown detail=hang",
+            ),
         )
 
         @JvmStatic
