Count requests in progress at a fault, and begin faults on working fleets

Cause: the share answered left out requests that were in progress at live VMs when the fault began, which flattered it; and the faults hit fleets whose engines had no owners yet.

Now such requests count, and a cluster has started once each engine has an owner.

Not seen failing yet: no run with a rule of the node switched off.

--- a/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/cluster/Cluster.kt
+++ b/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/cluster/Cluster.kt
@@ -42,14 +42,17 @@
     val manifests = Manifests(options, standins)
     val nodes = linkedMapOf<String, NodeProcess>()
 
-    /** Starts the nodes and waits until all are ready. */
+    /** Starts the nodes and waits until all are ready and each engine has an owner. */
     fun start() {
         commit(manifests.of(revision = 1))
         names().forEach(::startNode)
         publishList(names().associateWith { VmState.LIVE })
         awaitReady(names())
+        await("an owner for each engine") { owners() == options.engines.size }
     }
 
+    private fun owners(): Int = nodes.values.sumOf { OWNER.findAll(Http.get(it.operators, "/v1/status").body).count() }
+
     fun names(): List<String> = (1..options.vms).map { "vm-$it" }
 
     fun node(vm: String): NodeProcess = nodes.getValue(vm)
@@ -167,6 +170,7 @@
         const val AWAIT_NANOS = 60_000_000_000L
         const val POLL_MILLIS = 100L
         val SUCCESS = 200..299
+        val OWNER = Regex(""""role":"owner","reachable":true""")
         val VM_NAME = Regex("""vm-\d+""")
     }
 }
--- a/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/fault/FaultRun.kt
+++ b/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/fault/FaultRun.kt
@@ -57,14 +57,19 @@
         return FaultResult(violations, asked.size, asked.count { it in history.answered() })
     }
 
-    private fun asked(history: History, began: Long, ended: Long): List<String> = history.callers
-        .filter { it.kind == EventKind.INVOKE && it.at in began..ended && it.detail !in plan.affected }
-        .mapNotNull { it.request }
-        .filterNot { it.startsWith("book") }
+    /** Completions at live VMs that were made while the faults lasted, or were in progress when they began. */
+    private fun asked(history: History, began: Long, ended: Long): List<String> = history.requests
+        .filterKeys { !it.startsWith(RESERVATION) }
+        .filterValues { events ->
+            val invoke = events.first { it.kind == EventKind.INVOKE }
+            invoke.at <= ended && events.maxOf { it.at } >= began && invoke.detail !in plan.affected
+        }.keys
+        .toList()
 
     private companion object {
         const val REQUESTS = 160
         const val COMMITS = 3
+        const val RESERVATION = "book"
         val INTERVAL: Duration = Duration.ofMillis(90)
         val BEFORE: Duration = Duration.ofSeconds(3)
         val DURING: Duration = Duration.ofSeconds(6)
