Size by interpolation between measured sizes

Lines fitted up to 2,100 VMs have negative values at 6 VMs: the sizing of today's fleets came out as -0.004% of a core. Today's fleets and cells now take the measured sizes around them.

--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/FleetProbe.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/FleetProbe.kt
@@ -13,8 +13,7 @@
 
 /** Costs of the core protocol by the number of VMs on the list. */
 internal object FleetProbe {
-    private val sizes = listOf(7, 50, 200, 1_000, 2_100)
-    private val cellSizes = listOf(7, 24, 50)
+    private val sizes = listOf(7, 24, 50, 200, 1_000, 2_100)
     private const val LEASE_NANOS = 3_000_000_000L
     private const val HEARTBEAT_NANOS = 500_000_000L
     private const val OWNED_ENGINES = 5
@@ -63,9 +62,7 @@
     fun run(): List<Series> = listOf(
         Series.of("membership and guard heap, 5 owned engines", "VM", "B", sizes) { heap(it) },
         Series.of("one heartbeat received, CPU", "VM", "us", sizes) { n -> cpu(n) { heartbeats() } },
-        Series.of("one heartbeat received, CPU, in a cell", "VM", "us", cellSizes) { n -> cpu(n) { heartbeats() } },
         Series.of("one acknowledgement received, CPU", "VM", "us", sizes) { n -> cpu(n) { acks() } },
-        Series.of("one acknowledgement received, CPU, in a cell", "VM", "us", cellSizes) { n -> cpu(n) { acks() } },
         Series.of("ranking of one engine, CPU", "VM", "us", sizes) { ranking(it) },
         Series.of("ListOffer, bytes", "VM", "B", sizes) { FrameSize.of(offer(it)).toDouble() },
     )
--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/RulesProbe.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/RulesProbe.kt
@@ -14,6 +14,7 @@
 /** Costs of the decisions by replicas, resident adapters and waiting requests. */
 internal object RulesProbe {
     private val replicaSizes = listOf(100, 1_000, 10_000)
+    private val rankedSizes = listOf(6, 30, 100, 1_000, 2_500, 10_000)
     private val adapterSizes = listOf(8, 16, 64)
     private val waitingSizes = listOf(100, 400, 1_000)
     private val schedulerAdapterSizes = listOf(8, 64, 256)
@@ -40,7 +41,7 @@
             val statuses = List(n) { Samples.status(it, RESIDENT) }
             CpuMeter.micros(1) { statuses.forEach { placement.learn(it, now = 0) } }
         },
-        Series.of("placement rank of one request, CPU", "replica", "us", replicaSizes) { rank(it) },
+        Series.of("placement rank of one request, CPU", "replica", "us", rankedSizes) { rank(it) },
     )
 
     private fun schedulers(): List<Series> = listOf(
--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/Sizing.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/Sizing.kt
@@ -50,20 +50,20 @@
     fun ranking(fleet: Fleet, models: Int): Spend {
         val engines = fleet.engines.toDouble() / models
         val requests = fleet.requestsPerSecond / fleet.vms
-        return Spend(requests * maxOf(0.0, slopes.placementRank.slope * engines) / MICROS, 0.0)
+        return Spend(requests * slopes.placementRank.at(engines) / MICROS, 0.0)
     }
 
     /** Bytes of the text of the manifest. */
     fun manifestBytes(fleet: Fleet): Double =
-        slopes.adapterText.slope * fleet.adapters + slopes.engineText.slope * fleet.engines
+        slopes.adapterText.line.slope * fleet.adapters + slopes.engineText.line.slope * fleet.engines
 
     /** Bytes of heap for control at one VM: manifest with its text, peers, statuses and schedulers. */
     fun heap(fleet: Fleet): Double = manifestBytes(fleet) +
-        slopes.adapterHeap.slope * fleet.adapters +
-        slopes.engineHeap.slope * fleet.engines +
-        slopes.membershipHeap.slope * fleet.vms +
-        slopes.placementHeap.slope * fleet.engines +
-        slopes.schedulerHeap.slope * fleet.engines * 2 / fleet.vms
+        slopes.adapterHeap.line.slope * fleet.adapters +
+        slopes.engineHeap.line.slope * fleet.engines +
+        slopes.membershipHeap.line.slope * fleet.vms +
+        slopes.placementHeap.line.slope * fleet.engines +
+        slopes.schedulerHeap.line.slope * fleet.engines * 2 / fleet.vms
 
     companion object {
         /** Adapters told in the status of one engine. */
--- a/apricotslip-bench/src/test/kotlin/io/apricotslip/bench/capacity/LeastSquaresTest.kt
+++ b/apricotslip-bench/src/test/kotlin/io/apricotslip/bench/capacity/LeastSquaresTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.assertThrows
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -35,6 +36,13 @@
             .isEqualTo("| heap | 1.00 / 2.00 / 3.00 peers | 110 / 210 / 310 B | 10.0 | 100 B per peer | 0.0% |")
     }
 
+    @ParameterizedTest
+    @CsvSource("0.5, 10", "1, 10", "2, 15", "3, 20", "4, 40", "5, 60", "7, 85")
+    fun `interpolates between measured sizes`(size: Double, value: Double) {
+        val series = Series("heap", "peer", "B", points(1.0 to 10.0, 3.0 to 20.0, 5.0 to 60.0))
+        expectThat(series.at(size)).isEqualTo(value, TOLERANCE)
+    }
+
     companion object {
         private const val TOLERANCE = 1e-9
 
