Count the schedulers that each VM keeps for engines of others

EngineOwners makes a scheduler for each engine of the manifest at every VM and runs it 20 times a second, so its heap and CPU grow with all replicas, not only with the owned ones.

--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/RulesProbe.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/RulesProbe.kt
@@ -52,6 +52,13 @@
             val all = List(n) { scheduler(RESIDENT) }
             CpuMeter.micros(1) { all.forEach { tick(it) } }
         },
+        Series.of("scheduler without a role heap", "replica", "B", replicaSizes) { n ->
+            HeapMeter.bytes { List(n) { idle() } }
+        },
+        Series.of("scheduler without a role decide of all, CPU", "replica", "us", replicaSizes) { n ->
+            val all = List(n) { idle() }
+            CpuMeter.micros(1) { all.forEach { it.decide(0, NoLoads) } }
+        },
         Series.of("scheduler heap", "resident adapter", "B", schedulerAdapterSizes) { n ->
             HeapMeter.bytes(HUNDRED) { scheduler(n) }
         },
@@ -92,6 +99,9 @@
         return scheduler
     }
 
+    /** A scheduler of an engine that another VM owns. */
+    private fun idle(): AdapterScheduler = AdapterScheduler(Samples.server(0), RESIDENT, RESIDENT, WhenFull.REFUSES)
+
     private fun waiting(requests: Int): AdapterScheduler {
         val scheduler = scheduler(RESIDENT)
         repeat(requests) { scheduler.enqueue(work(it, RESIDENT + it % HUNDRED), now = 0) }
--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/Sizing.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/Sizing.kt
@@ -46,6 +46,10 @@
         return Spend(CHANGES_PER_SECOND * pushed / MICROS, CHANGES_PER_SECOND * (fleet.vms - 1) * manifestBytes(fleet))
     }
 
+    /** Regular work for each engine of the manifest, whether or not it is this VM's; its decisions alone. */
+    fun engineTicks(fleet: Fleet): Spend =
+        Spend(TICKS_PER_SECOND * fleet.engines * slopes.idleDecide.line.slope / MICROS, 0.0)
+
     /** Ranking of the engines of one model for each request that enters at this VM. */
     fun ranking(fleet: Fleet, models: Int): Spend {
         val engines = fleet.engines.toDouble() / models
@@ -63,7 +67,8 @@
         slopes.engineHeap.line.slope * fleet.engines +
         slopes.membershipHeap.line.slope * fleet.vms +
         slopes.placementHeap.line.slope * fleet.engines +
-        slopes.schedulerHeap.line.slope * fleet.engines * 2 / fleet.vms
+        slopes.schedulerHeap.line.slope * fleet.engines * 2 / fleet.vms +
+        slopes.idleSchedulerHeap.line.slope * fleet.engines * (1 - 2.0 / fleet.vms)
 
     companion object {
         /** Adapters told in the status of one engine. */
@@ -74,6 +79,7 @@
 
         private const val HEARTBEATS_PER_SECOND = 2.0
         private const val LEASE_SECONDS = 3.0
+        private const val TICKS_PER_SECOND = 20.0
         private const val STATUSES_PER_SECOND = 5.0
         private const val MICROS = 1e6
     }
--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/SizingTable.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/SizingTable.kt
@@ -12,6 +12,7 @@
             Mechanism("passes", sizing::passes),
             Mechanism("statuses", sizing::statuses),
             Mechanism("manifest pushes", sizing::manifests),
+            Mechanism("engine ticks", sizing::engineTicks),
             Mechanism("ranking of requests") { sizing.ranking(it, if (it.vms > TODAY_VMS) MODELS else 1) },
         )
 
--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/Slopes.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/capacity/Slopes.kt
@@ -15,6 +15,8 @@
     val placementHeap: Series = find("placement heap")
     val placementRank: Series = find("placement rank")
     val schedulerHeap: Series = find("scheduler heap, 16 resident")
+    val idleSchedulerHeap: Series = find("scheduler without a role heap")
+    val idleDecide: Series = find("scheduler without a role decide")
     val statusBytes: Series = find("EngineStatus, bytes")
     val statusCpu: Series = find("EngineStatus, CPU")
     val heartbeatMessage: NamedMessage = messages.first { it.name == "Heartbeat" }
