Start nothing before older orders are shut out; be ready once engines have owners

Cause: an order that a frozen engine still holds may act after a takeover: the specification's variant EvictShutOutOff evicts under use. The end of a resumed stream is checked for its adapter. Platform calls and store loads are metrics now; a history keeps its last lines.

--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/Node.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/Node.kt
@@ -173,12 +173,17 @@
     private fun dispatch(from: VmId, message: Message) {
         when (message) {
             is Message.Safety -> fleet.receive(from, message.body)
-            is Message.Engines -> message.engines.forEach { parts.placement.learn(it, parts.loop.now()) }
+            is Message.Engines -> learn(message)
             is Message.Stopping -> peerStopping(from)
             else -> dispatchCall(from, message)
         }
     }
 
+    private fun learn(message: Message.Engines) {
+        parts.readiness.heardOwners = true
+        message.engines.forEach { parts.placement.learn(it, parts.loop.now()) }
+    }
+
     private fun peerStopping(vm: VmId) {
         Logger.info("event=peer_stopping peer={}", vm)
         parts.router.stopping(vm, isStopping = true)
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/NodeParts.kt
@@ -25,7 +25,6 @@
 import io.apricotslip.core.service.RepeatableCalls
 import io.apricotslip.core.service.ServiceCalls
 import io.apricotslip.platform.HttpPlatformClient
-import io.apricotslip.platform.PlatformClient
 import io.apricotslip.rules.limits.AdmissionLimits
 import io.apricotslip.rules.limits.RetryBudget
 import io.apricotslip.rules.placement.AdapterPlacement
@@ -62,7 +61,7 @@
             build = BuildVersion.value,
         )
     val links = Links(self, network, loop)
-    val platform: PlatformClient =
+    val platform =
         HttpPlatformClient(
             configuration = settings.platform.configuration.toEndpoint(),
             vms = settings.platform.vms.toEndpoint(),
@@ -152,6 +151,10 @@
         metrics.watch("apricotslip_lease_held", "1 while a majority answers.") {
             if (membership.leaseHeld(loop.now())) 1.0 else 0.0
         }
+        metrics.watch("apricotslip_platform_calls", "Calls to the platform so far.") { platform.calls.toDouble() }
+        metrics.watch("apricotslip_store_loads_available", "Loads of the weight store that this VM may start now.") {
+            shares.available()
+        }
         metrics.watch("apricotslip_requests_running", "Requests under way.") { underWay().toDouble() }
     }
 
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/StoreShares.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/fleet/StoreShares.kt
@@ -70,6 +70,9 @@
         share?.want(now, demand)
     }
 
+    /** Loads that may be started now. */
+    fun available(): Double = share?.available(loop.now()) ?: 0.0
+
     override fun ended(now: Long) {
         share?.ended(now)
     }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/observe/HistoryRecorder.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/observe/HistoryRecorder.kt
@@ -8,6 +8,7 @@
 import java.io.File
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
 
 /** Records a history for the checkers of the tests, when the settings name a file. */
 internal class HistoryRecorder(private val vm: VmId, file: String?) : AutoCloseable {
@@ -27,6 +28,11 @@
 
     override fun close() {
         thread?.shutdown()
+        thread?.awaitTermination(CLOSE_SECONDS, TimeUnit.SECONDS)
+    }
+
+    private companion object {
+        const val CLOSE_SECONDS = 2L
     }
 
     private fun newThread(): ExecutorService =
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -4,6 +4,7 @@
 import io.apricotslip.api.id.RequestId
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.manifest.EngineEntry
+import io.apricotslip.api.manifest.FenceCheck
 import io.apricotslip.api.outcome.Certainty
 import io.apricotslip.api.outcome.Refusal
 import io.apricotslip.api.outcome.RefusalCode
@@ -182,6 +183,7 @@
         val call = streams[work.id]
         val now = ctx.loop.now()
         if (call == null) return scheduler.finished(work.id, 0, now)
+        if (!olderOrdersShutOut()) return scheduler.startRefused(work.id, adapterMissing = false, now = now)
         if (!ctx.guard.mayStart(engine.id, work.adapter, now)) {
             scheduler.finished(work.id, 0, now)
             return refuse(work.id, RefusalCode.NOT_READY, Step.START)
@@ -189,6 +191,13 @@
         streams.start(call, action.priority)
     }
 
+    /**
+     * On an engine that checks the fence, an order of a former owner may still be on its way; nothing starts until an
+     * order of this tenure was acknowledged, which shuts it out.
+     */
+    private fun olderOrdersShutOut(): Boolean =
+        engine.fence == FenceCheck.IGNORED || ctx.guard.olderOrdersShutOut(engine.id)
+
     private fun ended(ending: StreamEnding) {
         val now = ctx.loop.now()
         when (ending) {
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineReports.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineReports.kt
@@ -74,8 +74,9 @@
     }
 
     /** Whether reports cannot be told to follow the former owner's orders yet. */
-    private fun mustTouch(now: Long): Boolean =
-        isOwner(now) && ctx.membership.leaseHeld(now) && !ctx.guard.olderOrdersShutOut(server)
+    private fun mustTouch(now: Long): Boolean = ctx.membership.hasRole(server, now) != Role.None &&
+        ctx.membership.leaseHeld(now) &&
+        !ctx.guard.olderOrdersShutOut(server)
 
     private fun isOwner(now: Long): Boolean = ctx.membership.hasRole(server, now) == Role.Owner
 }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerStreams.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/OwnerStreams.kt
@@ -1,6 +1,7 @@
 package io.apricotslip.core.owner
 
 import io.apricotslip.api.history.EventKind
+import io.apricotslip.api.id.AdapterVersion
 import io.apricotslip.api.id.RequestId
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.outcome.Certainty
@@ -172,19 +173,20 @@
     }
 
     private fun token(call: OwnerCall, token: EngineEvent.Token) {
-        if (token.adapter != call.adapter) return lose(call, wrongAdapter(token))
+        if (token.adapter != call.adapter) return lose(call, wrongAdapter(token.adapter))
         if (call.keep(token)) flush(call)
     }
 
-    private fun wrongAdapter(token: EngineEvent.Token) = Refusal(
+    private fun wrongAdapter(named: AdapterVersion) = Refusal(
         code = RefusalCode.WRONG_ADAPTER,
         step = Step.STREAM,
         peer = server.value,
         certainty = Certainty.UNKNOWN,
-        detail = "the engine answered with ${token.adapter}",
+        detail = "the engine answered with $named",
     )
 
     private fun whole(call: OwnerCall, end: EngineEvent.End) {
+        if (end.adapter != call.adapter) return lose(call, wrongAdapter(end.adapter))
         call.end = end
         finish(call)
         flush(call)
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreShare.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/store/StoreShare.kt
@@ -66,6 +66,12 @@
         return now + ceil((1 - tokens) / rate * NANOS_PER_SECOND).toLong()
     }
 
+    /** Loads saved up; a part of one also counts. */
+    public fun available(now: Long): Double {
+        refill(now)
+        return tokens
+    }
+
     /** The list of VMs changed and this VM's part is now [share]. */
     public fun resize(share: Double, now: Long) {
         refill(now)
--- a/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/PolicySettings.kt
+++ b/apricotslip-settings/src/main/kotlin/io/apricotslip/settings/PolicySettings.kt
@@ -7,7 +7,7 @@
 public data class PolicySettings(
     public val goal: Goal = Goal.LOAD_STALLS,
     public val popularityHalfLifeMillis: Long = 900_000,
-    public val deferrableMaxWaitMillis: Long = 600_000,
+    public val deferrableMaxWaitMillis: Long = 3_600_000,
     public val loadBackoffMillis: Long = 500,
     public val maxLoadBackoffMillis: Long = 15_000,
 )
