--- a/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/load/LoadPlan.kt
+++ b/apricotslip-bench/src/main/kotlin/io/apricotslip/bench/load/LoadPlan.kt
@@ -1,8 +1,8 @@
 package io.apricotslip.bench.load
 
 import io.apricotslip.api.work.WorkClass
+import io.apricotslip.bench.decide.Zipf
 import kotlin.math.ln
-import kotlin.math.pow
 import kotlin.random.Random
 
 /** One request of a plan; [atNanos] counts from the start of the run. */
@@ -14,9 +14,7 @@
 
     fun draw(options: LoadOptions): List<PlannedRequest> {
         val random = Random(options.seed)
-        val popularity = cumulative(options.adapters.size) { (it + 1.0).pow(-options.exponent) }
-        val classes = options.shares.keys.toList()
-        val shares = cumulative(classes.size) { options.shares.getValue(classes[it]) }
+        val popularity = Zipf(options.adapters.size, options.exponent)
         val end = options.seconds * NANOS_PER_SECOND
         var at = 0.0
         return generateSequence(0) { it + 1 }
@@ -25,23 +23,18 @@
                 PlannedRequest(
                     number = number,
                     atNanos = at.toLong(),
-                    adapter = options.adapters[pick(popularity, random)],
-                    workClass = classes[pick(shares, random)],
+                    adapter = options.adapters[popularity.draw(random)],
+                    workClass = draw(options.shares, random),
                 )
             }.takeWhile { it.atNanos < end }
             .toList()
     }
 
-    private fun cumulative(size: Int, weight: (Int) -> Double): DoubleArray {
-        var sum = 0.0
-        return DoubleArray(size) {
-            sum += weight(it)
-            sum
-        }
-    }
-
-    private fun pick(cumulative: DoubleArray, random: Random): Int {
-        val at = cumulative.binarySearch(random.nextDouble() * cumulative.last())
-        return (if (at >= 0) at else -at - 1).coerceAtMost(cumulative.size - 1)
+    private fun draw(shares: Map<WorkClass, Double>, random: Random): WorkClass {
+        var left = random.nextDouble() * shares.values.sum()
+        return shares.entries.firstOrNull { (_, share) ->
+            left -= share
+            left < 0
+        }?.key ?: shares.keys.last()
     }
 }
--- a/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/WholePathTest.kt
+++ b/apricotslip-e2e/src/test/kotlin/io/apricotslip/e2e/WholePathTest.kt
@@ -1,12 +1,15 @@
 package io.apricotslip.e2e
 
+import io.apricotslip.api.history.EventKind
 import io.apricotslip.e2e.caller.Ask
 import io.apricotslip.e2e.caller.CallerClient
 import io.apricotslip.e2e.caller.IdempotencyKeys
 import io.apricotslip.e2e.cluster.Cluster
 import io.apricotslip.e2e.cluster.ClusterOptions
 import io.apricotslip.e2e.cluster.RunDirectory
+import io.apricotslip.testutils.invariant.InForceInTime
 import io.apricotslip.testutils.invariant.Invariants
+import io.apricotslip.testutils.invariant.NoNewWorkAfterLeaving
 import io.apricotslip.testutils.invariant.PlannedStopCutsNothing
 import io.apricotslip.testutils.process.ProcessSignal
 import org.junit.jupiter.api.AfterAll
@@ -22,6 +25,8 @@
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.time.Duration
 import java.util.Random
 
 /** Real daemons and stand-ins as processes: the whole path, on one cluster for all tests. */
@@ -97,6 +102,28 @@
 
     @Test
     @Order(4)
+    fun `a leaving backend server gets no new work after three seconds and the others answer`() {
+        val since = System.nanoTime()
+        cluster.commit(cluster.manifests.of(revision = 3, default = "v2", leaving = setOf("e1")))
+        val asks = ArrayList<Ask>()
+        while (System.nanoTime() - since < 2 * LEAVING_LIMIT.toNanos()) {
+            val wave = asks("leaving-${asks.size}", 4)
+            send(wave).blockLast()
+            asks += wave
+        }
+        val history = cluster.history()
+        expectThat(NoNewWorkAfterLeaving("e1", since, LEAVING_LIMIT).violations(history)).isEmpty()
+        expectThat(InForceInTime(3, since, cluster.names().toSet(), IN_FORCE_LIMIT).violations(history)).isEmpty()
+        expectThat(history.servers.any { it.process == "e1" && it.kind == EventKind.RUN }).isTrue()
+        expectAnswered(asks)
+        cluster.commit(cluster.manifests.of(revision = 4, default = "v2"))
+        cluster.await("revision 4 on all nodes") {
+            cluster.nodes.values.all { "\"revision\":4," in cluster.inForce(it) }
+        }
+    }
+
+    @Test
+    @Order(5)
     fun `SIGTERM in mid-stream cuts no request off`() {
         val asks = asks("stopped", 8, tokens = 200)
         val running = send(asks).collectList().toFuture()
@@ -114,5 +141,7 @@
     private companion object {
         const val SEED = 3L
         const val EXIT_MILLIS = 60_000L
+        val LEAVING_LIMIT: Duration = Duration.ofSeconds(3)
+        val IN_FORCE_LIMIT: Duration = Duration.ofSeconds(5)
     }
 }
