Hash the start of a prompt in one place

Cause: the entry VM's placement and the owner's scheduler each hashed the first 64 characters of a prompt, and both must agree. Behaviour is unchanged.

--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryRouter.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/entry/EntryRouter.kt
@@ -7,6 +7,7 @@
 import io.apricotslip.api.outcome.Refusal
 import io.apricotslip.api.outcome.RefusalCode
 import io.apricotslip.api.outcome.Step
+import io.apricotslip.core.prompt.PromptPrefix
 import io.apricotslip.rules.limits.RetryBudget
 import io.apricotslip.rules.placement.Placement
 import io.apricotslip.rules.placement.PlacementRequest
@@ -129,7 +130,7 @@
         adapter = call.binding.adapter,
         workClass = call.spec.workClass,
         maxTokens = call.spec.maxTokens,
-        prefix = call.spec.prompt.take(PREFIX_CHARS).hashCode().toLong(),
+        prefix = PromptPrefix.hash(call.spec.prompt),
     )
 
     private fun ranking(server: BackendServerId): List<VmId> =
@@ -152,6 +153,5 @@
         const val PLACE_PAUSE_MILLIS = 100L
         const val PLACE_PATIENCE_NANOS = 8_000_000_000L
         const val USERS_PER_ENGINE = 2
-        const val PREFIX_CHARS = 64
     }
 }
--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/owner/EngineOwner.kt
@@ -12,6 +12,7 @@
 import io.apricotslip.api.peer.EngineStatus
 import io.apricotslip.backends.engine.EngineClient
 import io.apricotslip.core.observe.HopSpans
+import io.apricotslip.core.prompt.PromptPrefix
 import io.apricotslip.rules.engine.EngineAction
 import io.apricotslip.rules.engine.EngineScheduler
 import io.apricotslip.rules.engine.Work
@@ -158,7 +159,7 @@
         arrivedAt = now,
         deadlineAt = now + message.budgetMillis * NANOS_PER_MILLI,
         maxTokens = message.maxTokens,
-        prefix = message.prompt.take(PREFIX_CHARS).hashCode().toLong(),
+        prefix = PromptPrefix.hash(message.prompt),
     )
 
     private fun carryOut(action: EngineAction) {
@@ -253,7 +254,6 @@
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
         const val MAX_WAKE_MILLIS = 1_000L
-        const val PREFIX_CHARS = 64
         const val ADAPTER_NOT_RESIDENT = "adapter_not_resident"
     }
 }
