--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Dialect.kt
@@ -0,0 +1,34 @@
+package io.apricotslip.gateway
+
+import io.apricotslip.gateway.exchange.RequestFacts
+import io.apricotslip.gateway.exchange.ServerAnswer
+import io.apricotslip.gateway.exchange.ServerSend
+import io.apricotslip.gateway.order.Order
+import io.apricotslip.gateway.order.OrderCall
+import io.apricotslip.gateway.order.OrderResult
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+
+/** The names that callers and backend servers use on the wire. It translates and decides nothing. */
+public interface Dialect {
+    /** Reads the headers of a caller's request. */
+    public fun facts(headers: HttpHeaders): RequestFacts
+
+    /** Headers for a backend server: those of the caller that may pass, and what [send] says. */
+    public fun toServer(caller: HttpHeaders, send: ServerSend): HttpHeaders
+
+    /** Reads the head of a backend server's answer. */
+    public fun answer(response: HttpResponse): ServerAnswer
+
+    /** Headers of a backend server's answer that pass to the caller. */
+    public fun toCaller(response: HttpResponse): HttpHeaders
+
+    /** Headers of an answer of the system's own to request [id]. */
+    public fun own(id: String?, retryAfterMillis: Long?): HttpHeaders
+
+    /** The HTTP call for [order]. */
+    public fun order(order: Order): OrderCall
+
+    /** Reads the answer to an order. */
+    public fun orderResult(status: Int): OrderResult
+}
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -0,0 +1,323 @@
+package io.apricotslip.gateway
+
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.Incarnation
+import io.apricotslip.api.id.ServiceId
+import io.apricotslip.api.id.VmId
+import io.apricotslip.api.peer.FleetMessage
+import io.apricotslip.gateway.caller.CallerAnswer
+import io.apricotslip.gateway.caller.CallerHandler
+import io.apricotslip.gateway.caller.CallerServer
+import io.apricotslip.gateway.exchange.ExchangeContext
+import io.apricotslip.gateway.exchange.Exchanges
+import io.apricotslip.gateway.exchange.WorkLedger
+import io.apricotslip.gateway.observe.DecisionLog
+import io.apricotslip.gateway.observe.GatewayMetrics
+import io.apricotslip.gateway.observe.PlainPage
+import io.apricotslip.gateway.order.OrderDesk
+import io.apricotslip.gateway.order.OrderSender
+import io.apricotslip.gateway.order.PeerLoads
+import io.apricotslip.gateway.order.ServerOrders
+import io.apricotslip.gateway.peer.PeerDesk
+import io.apricotslip.gateway.server.Connector
+import io.apricotslip.gateway.server.ServerPool
+import io.apricotslip.serving.fleet.AdapterVersions
+import io.apricotslip.serving.fleet.Fleet
+import io.apricotslip.serving.fleet.ServedAdapter
+import io.apricotslip.serving.fleet.Server
+import io.apricotslip.serving.fleet.ServerEntry
+import io.apricotslip.serving.fleet.UseCounts
+import io.apricotslip.serving.member.Members
+import io.apricotslip.serving.order.OrderClaims
+import io.apricotslip.serving.placement.EngineChoice
+import io.apricotslip.serving.placement.PlainChoice
+import io.apricotslip.serving.retry.RepeatBudget
+import io.apricotslip.serving.state.CallerLimits
+import io.apricotslip.serving.state.DesiredState
+import io.apricotslip.wire.KtorPeerNetwork
+import io.netty.channel.EventLoop
+import org.tinylog.kotlin.Logger
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/**
+ * A node: takes requests of callers, sends each to a backend server that can answer it in time, gives the orders to the
+ * backend servers that it claims, and tells its peers what it does. All of its state lives on [loop].
+ */
+public class Gateway(
+    private val options: GatewayOptions,
+    private val dialect: Dialect,
+    private val loop: EventLoop,
+    public val metrics: GatewayMetrics = GatewayMetrics(),
+) : Beliefs {
+    private val startedAt = System.nanoTime()
+    private val log = DecisionLog(::now)
+    private val fleet = Fleet()
+    private val versions = AdapterVersions()
+    private val members = Members(options.self, options.seeds)
+    private val claims = OrderClaims(options.self, options.nodeNumber, options.orderLeaseMillis, now())
+    private val pool = ServerPool(Connector(loop), ::now)
+    private val ledger = WorkLedger()
+    private val budgets = HashMap<ServiceId, RepeatBudget>()
+    private val network = KtorPeerNetwork(
+        options.self,
+        Incarnation(Random.nextLong(1, Long.MAX_VALUE)),
+        options.address,
+        options.linkPort,
+    )
+    private val peers = PeerDesk(network, members, loop, options.zone, options.linkPort, ::now, ::receive)
+    private val peerAdapters = HashMap<VmId, Map<BackendServerId, Set<ServedAdapter>>>()
+    private val orders = OrderDesk(fleet, claims, { state }, log, ::desk)
+    private val loads = PeerLoads(options.self, loop, orders, peers::send, ::now)
+    private val exchanges = Exchanges(exchangeContext())
+    private val callers = CallerServer(
+        loop,
+        exchanges,
+        { state?.limits ?: CallerLimits.Initial },
+        ::now,
+        options.maxCallers,
+        options.maxBodyBytes,
+    )
+    private val readiness = page { _, answer -> PlainPage.status(answer, if (ready()) READY else NOT_READY) }
+    private val metricsPage = page { _, answer -> PlainPage.text(answer, metrics.text()) }
+    private var state: DesiredState? = null
+    private var serversKnown = false
+    private var stoppingSince: Long? = null
+
+    /** Milliseconds of the steady clock since the process made this gateway. */
+    public fun now(): Long = (System.nanoTime() - startedAt) / NANOS_PER_MILLI
+
+    /** Starts to listen and to talk to peers; blocks until it listens. */
+    public fun start() {
+        readiness.start(options.readyHost, options.readyPort)
+        options.metricsPort?.let { metricsPage.start(options.readyHost, it) }
+        callers.start(options.callerHost, options.callerPort)
+        loop.execute(peers::start)
+        loop.scheduleWithFixedDelay(guarded("report", ::report), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS)
+        loop.scheduleWithFixedDelay(guarded("tick", ::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        watchMetrics()
+    }
+
+    /**
+     * Stops: says that it is not ready, answers what is under way and what still comes on open connections, then ends.
+     * The future completes when nothing is left, or the grace is over.
+     */
+    public fun stop(): CompletableFuture<Unit> {
+        val stopped = CompletableFuture<Unit>()
+        loop.execute {
+            if (stoppingSince != null) return@execute
+            stoppingSince = now()
+            Logger.info { "event=stopping open=${exchanges.open} callers=${callers.connections}" }
+            orders.release()
+            callers.drain(hard = false)
+            awaitDrained(stopped)
+        }
+        return stopped
+    }
+
+    override fun desired(state: DesiredState, revision: Long) {
+        val known = this.state
+        if (known != null && known.version >= state.version) return
+        this.state = state
+        log.write {
+            "event=desired_state version=${state.version} revision=$revision routes=${state.routes.size} " +
+                "services=${state.services.size} before=${known?.version}"
+        }
+    }
+
+    override fun server(entry: ServerEntry, revision: Long) {
+        val change = fleet.seen(entry, revision, now())
+        if (change == Fleet.Change.UPDATED || change == Fleet.Change.STALE) return
+        log.write {
+            "event=server server=${entry.id} change=$change service=${entry.service} revision=$revision " +
+                "address=${entry.host}:${entry.port} adapters=${entry.adapters.size} leaving=${entry.leaving}"
+        }
+    }
+
+    override fun serverRemoved(id: BackendServerId, revision: Long) {
+        val gone = fleet.removed(id, now())
+        log.write { "event=server_removed server=$id revision=$revision gone=$gone" }
+        if (gone) pool.forget(id)
+    }
+
+    override fun serversListed(ids: Set<BackendServerId>) {
+        serversKnown = true
+        fleet.listed(ids, now()).forEach(pool::forget)
+    }
+
+    override fun adapterVersion(adapter: ServedAdapter, version: Long, revision: Long) {
+        if (!versions.declared(adapter, version, now())) return
+        log.write { "event=adapter_version adapter=$adapter version=$version revision=$revision" }
+        orders.renew(adapter, version)
+    }
+
+    override fun storeLost(reason: String) {
+        Logger.warn { "event=store_lost reason=\"$reason\"" }
+        fleet.storeLost()
+    }
+
+    override fun storeRegained() {
+        Logger.info { "event=store_regained" }
+        fleet.storeRegained(now())
+    }
+
+    private fun ready(): Boolean = state != null && serversKnown && stoppingSince == null
+
+    private fun page(handler: CallerHandler) =
+        CallerServer(loop, handler, { CallerLimits.Initial }, ::now, MOST_PAGE_CALLERS, PAGE_BODY_BYTES)
+
+    private fun exchangeContext() = ExchangeContext(
+        loop = loop,
+        now = ::now,
+        dialect = dialect,
+        fleet = fleet,
+        pool = pool,
+        ledger = ledger,
+        engines = EngineChoice(options.zone, ::loadable),
+        plain = PlainChoice(options.zone),
+        loads = { server, adapter, version, missing, done -> loads.ask(server, adapter, version, missing, done) },
+        log = log,
+        metrics = metrics,
+        desired = { state },
+        nodes = members::size,
+        budget = ::budget,
+        version = versions::needed,
+        stopping = { stoppingSince?.let { now() - it > ACCEPT_MILLIS } ?: false },
+    )
+
+    private fun desk(refused: (Server) -> Unit) = ServerOrders.Desk(
+        self = options.self,
+        loop = loop,
+        now = ::now,
+        sender = OrderSender(loop, pool, dialect),
+        log = log,
+        metrics = metrics,
+        version = versions::newest,
+        inUse = ::inUse,
+        refused = refused,
+        changed = {},
+    )
+
+    private fun budget(service: ServiceId) = budgets.getOrPut(service) {
+        RepeatBudget(options.repeatRatio, options.repeatSlack, options.repeatWindowMillis)
+    }
+
+    private fun loadable(server: Server): Boolean {
+        val holder = orders.holder(server.id) ?: return false
+        return holder == options.self || holder in network.connected()
+    }
+
+    private fun inUse(server: Server, adapter: ServedAdapter): Boolean =
+        adapter in ledger.adapters(server.id) || peerAdapters.values.any { adapter in it[server.id].orEmpty() }
+
+    private fun receive(peer: VmId, message: FleetMessage) {
+        when (message) {
+            is FleetMessage.Report -> heard(peer, message)
+            is FleetMessage.LoadAsk -> loads.asked(peer, message)
+            is FleetMessage.LoadAnswer -> loads.answered(message)
+        }
+    }
+
+    private fun heard(peer: VmId, report: FleetMessage.Report) {
+        val now = now()
+        members.told(report.peers, now)
+        val uses = report.uses.associateBy { it.server }
+        for (server in fleet.all) {
+            val use = uses[server.id]
+            val counts = use?.let { UseCounts(it.running, it.unread, it.memory) } ?: UseCounts()
+            server.peerUses(peer, counts, now)
+        }
+        val adapters = report.uses.associate { use ->
+            use.server to use.adapters.mapTo(HashSet(), ServedAdapter::parse)
+        }
+        peerAdapters[peer] = adapters
+        for ((server, used) in adapters) {
+            val places = orders.held(server)?.places ?: continue
+            used.forEach { places.used(it, now) }
+        }
+        report.claims.forEach { orders.heard(peer, it) }
+    }
+
+    private fun report() {
+        val uses = fleet.all.filter { it.own != UseCounts() }.map {
+            FleetMessage.ServerUse(
+                server = it.id,
+                running = it.own.running,
+                unread = it.own.unreadTokens,
+                memory = it.own.memoryTokens,
+                adapters = ledger.adapters(it.id).map(ServedAdapter::toString),
+            )
+        }
+        peers.broadcast(FleetMessage.Report(members.live(now()), uses, orders.report()))
+    }
+
+    private fun tick() {
+        val now = now()
+        val live = members.live(now)
+        peerAdapters.keys.retainAll(live.toSet())
+        fleet.settle(now).forEach {
+            log.write { "event=server_lapsed server=$it" }
+            pool.forget(it)
+        }
+        val taking = stoppingSince == null
+        if (taking) orders.tick(live, members.connected(now), System.currentTimeMillis() / MILLIS_PER_SECOND)
+        peers.follow()
+        callers.check()
+        readiness.check()
+        pool.trim()
+        exchanges.dropSilent(fleet.all, pool, now)
+        for (server in fleet.all) {
+            val places = orders.held(server.id)?.places ?: continue
+            ledger.adapters(server.id).forEach { places.used(it, now) }
+        }
+    }
+
+    private fun awaitDrained(stopped: CompletableFuture<Unit>) {
+        val since = now() - (stoppingSince ?: now())
+        val idle = exchanges.open == 0 && since > ACCEPT_MILLIS
+        if (since > ACCEPT_MILLIS) callers.drain(hard = true)
+        if (idle && callers.connections == 0 || since > options.graceMillis - EXIT_MILLIS) {
+            callers.close()
+            peers.close()
+            stopped.complete(Unit)
+            return
+        }
+        loop.schedule({ awaitDrained(stopped) }, TICK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun watchMetrics() {
+        metrics.watch("apricotslip_open_exchanges", "Requests under way.") { exchanges.open.toDouble() }
+        metrics.watch("apricotslip_live_nodes", "Nodes heard lately.") { members.live(now()).size.toDouble() }
+        metrics.watch("apricotslip_servers", "Backend servers believed in.") { fleet.all.size.toDouble() }
+        metrics.watch("apricotslip_held_servers", "Backend servers claimed.") { claims.held().size.toDouble() }
+        metrics.watch("apricotslip_server_connections", "Connections opened.") { pool.opened.toDouble() }
+    }
+
+    private fun guarded(step: String, action: () -> Unit) = Runnable {
+        try {
+            action()
+        } catch (e: Exception) {
+            Logger.error(e, "event=step_failed step={}", step)
+        }
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val MILLIS_PER_SECOND = 1_000L
+
+        /** Loads and queues change within a few hundred milliseconds; a report is a few hundred bytes. */
+        const val REPORT_MILLIS = 150L
+        const val TICK_MILLIS = 100L
+
+        /** The balancer takes a node out after two misses of a check each second. */
+        const val ACCEPT_MILLIS = 2_600L
+
+        /** Left of the grace for the end of the process. */
+        const val EXIT_MILLIS = 500L
+        const val MOST_PAGE_CALLERS = 64
+        const val PAGE_BODY_BYTES = 65_536L
+        const val READY = 200
+        const val NOT_READY = 503
+    }
+}
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerDecoder.kt
@@ -0,0 +1,23 @@
+package io.apricotslip.gateway.caller
+
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequestDecoder
+
+/** Reads requests of callers. A message with two statements of its length is refused, so that nothing can hide in it. */
+internal class CallerDecoder(maxHeaderBytes: Int) :
+    HttpRequestDecoder(
+        HttpDecoderConfig()
+            .setMaxHeaderSize(maxHeaderBytes)
+            .setMaxInitialLineLength(maxHeaderBytes)
+            .setInitialBufferSize(HEADER_BUFFER_BYTES),
+    ) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+        throw IllegalArgumentException("both ${HttpHeaderNames.CONTENT_LENGTH} and ${HttpHeaderNames.TRANSFER_ENCODING}")
+    }
+
+    private companion object {
+        const val HEADER_BUFFER_BYTES = 512
+    }
+}
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -0,0 +1,103 @@
+package io.apricotslip.gateway.exchange
+
+import io.apricotslip.gateway.server.HttpLink
+import io.apricotslip.gateway.server.LinkListener
+import io.apricotslip.serving.fleet.Server
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpResponse
+
+/** One sending of a request to one backend server: reads the answer and says what it proves. */
+internal class Attempt(
+    private val exchange: Exchange,
+    private val context: ExchangeContext,
+    private val delivery: Delivery,
+    private val server: Server,
+    private val link: HttpLink,
+    private val requestId: String?,
+    private val tokensBefore: Long,
+    private val sentAt: Long,
+) : LinkListener {
+    private sealed class State {
+        /** No head yet. */
+        data object Waiting : State()
+
+        /** The answer passes to the caller. */
+        data object Passing : State()
+
+        /** The body is of no use; [said] is acted on when it ended. */
+        class Dropping(val said: ServerAnswer) : State()
+    }
+
+    private var state: State = State.Waiting
+    private var first = true
+    private var lastEventAt = 0L
+
+    override fun head(response: HttpResponse): Boolean {
+        server.health.heard(context.now())
+        val said = context.dialect.answer(response)
+        if (requestId != null && said.requestId != requestId) {
+            context.log.write { "event=foreign_answer request=$requestId server=${server.id} answers=${said.requestId}" }
+            return false
+        }
+        when {
+            said.notRun || said.misdirected -> state = State.Dropping(said)
+            !said.signed -> state = State.Dropping(said)
+            said.ok -> pass(response)
+            delivery.begun -> state = State.Dropping(said)
+            else -> pass(response)
+        }
+        return true
+    }
+
+    override fun body(bytes: ByteBuf) {
+        server.health.heard(context.now())
+        if (state != State.Passing) return
+        if (delivery.body(bytes)) event()
+    }
+
+    override fun ended() {
+        when (val at = state) {
+            State.Waiting -> exchange.unknown(server, "no answer")
+            State.Passing -> whole()
+            is State.Dropping -> dropped(at.said)
+        }
+    }
+
+    override fun broken(reason: String) {
+        val at = state
+        if (at is State.Dropping && (at.said.notRun || at.said.misdirected)) return exchange.notRun(server, at.said)
+        delivery.interrupted()
+        exchange.unknown(server, reason)
+    }
+
+    private fun pass(response: HttpResponse) {
+        state = State.Passing
+        delivery.head(response, link)
+    }
+
+    private fun whole() {
+        if (!delivery.ok) {
+            if (exchange.failed(server)) return delivery.interrupted()
+        } else {
+            server.health.answered(context.now())
+        }
+        if (first) event()
+        delivery.end()
+        exchange.done(if (delivery.ok) "served" else "failed_by_server")
+    }
+
+    private fun dropped(said: ServerAnswer) {
+        if (said.notRun || said.misdirected) exchange.notRun(server, said) else exchange.unknown(server, "unsigned ${said.status}")
+    }
+
+    private fun event() {
+        val now = context.now()
+        if (first) {
+            first = false
+            exchange.firstEvent(now - sentAt, tokensBefore, server)
+        } else if (exchange.stream && lastEventAt > 0) {
+            server.pace.learnGap(now - lastEventAt)
+        }
+        lastEventAt = now
+    }
+}
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -0,0 +1,322 @@
+package io.apricotslip.gateway.exchange
+
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.ServiceId
+import io.apricotslip.gateway.caller.CallerAnswer
+import io.apricotslip.gateway.caller.CallerRequest
+import io.apricotslip.gateway.caller.CallerWatcher
+import io.apricotslip.gateway.server.HttpLink
+import io.apricotslip.serving.fleet.ServedAdapter
+import io.apricotslip.serving.fleet.Server
+import io.apricotslip.serving.placement.Choice
+import io.apricotslip.serving.placement.EngineAsk
+import io.apricotslip.serving.state.Route
+import io.apricotslip.serving.state.RouteKind
+import io.apricotslip.serving.state.ServiceSpec
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpResponseStatus
+import java.util.concurrent.TimeUnit
+import kotlin.math.min
+
+/**
+ * One request of a caller from its last byte to its final answer.
+ *
+ * It may be sent again only while no server may have run it, or when its route lets it run more than once; each sending
+ * after the first takes from the budget of the service.
+ */
+internal class Exchange(
+    private val context: ExchangeContext,
+    private val request: CallerRequest,
+    private val answer: CallerAnswer,
+    private val facts: RequestFacts,
+    private val route: Route,
+    private val service: ServiceId,
+    private val spec: ServiceSpec?,
+) : CallerWatcher {
+    private val startedAt = request.arrivedAt
+    private val endsAt = startedAt + min(route.timeoutMillis, facts.deadlineMillis ?: Long.MAX_VALUE)
+    private val tried = HashSet<BackendServerId>()
+    private val delivery = Delivery(this, context, answer, route, facts)
+    private var reservation: WorkLedger.Reservation? = null
+    private var link: HttpLink? = null
+    private var sends = 0
+    private var runs = 0
+    private var loadAsks = 0
+    private var missingAt: Server? = null
+    private var over = false
+    private val timer = context.loop.schedule(::timeUp, endsAt - startedAt, TimeUnit.MILLISECONDS)
+
+    val stream: Boolean
+        get() = route.kind == RouteKind.STREAM
+
+    /** Starts the exchange. */
+    fun begin() {
+        context.open++
+        request.body.retain()
+        context.budget(service).request(startedAt)
+        place()
+    }
+
+    override fun callerLeft() {
+        if (over) return
+        val leaves = route.kind != RouteKind.AT_MOST_ONCE
+        if (leaves) link?.abandon()
+        finish("caller_left", keepLink = !leaves)
+    }
+
+    override fun callerReads(writable: Boolean) {
+        link?.read(writable)
+    }
+
+    /** Chooses a server and goes there. */
+    private fun place() {
+        if (over) return
+        val now = context.now()
+        val servers = context.fleet.usable(service, now)
+        val engine = spec?.engine
+        val adapter = facts.adapter
+        val choice = if (engine != null && adapter != null) {
+            context.engines.choose(ask(adapter, now), servers, engine, now)
+        } else {
+            context.plain.choose(servers, tried, now)
+        }
+        when (choice) {
+            is Choice.Send -> send(choice.server, choice.estimateMillis)
+            is Choice.Load -> load(choice.server, choice.estimateMillis)
+            is Choice.Refuse -> refuse(choice.reason.name.lowercase(), choice.retryAfterMillis)
+        }
+    }
+
+    private fun ask(adapter: ServedAdapter, now: Long) = EngineAsk(
+        adapter = adapter,
+        version = context.version(adapter, now),
+        promptTokens = facts.promptTokens,
+        outputTokens = facts.outputTokens,
+        budgetMillis = patience(now),
+        excluded = tried,
+    )
+
+    /** Time in which a first event is still worth waiting for; a stream that began is always worth its end. */
+    private fun patience(now: Long): Long {
+        val left = endsAt - now
+        if (delivery.begun) return left
+        return min(left, (route.targetMillis * PATIENCE).toLong() - (now - startedAt))
+    }
+
+    private fun load(server: Server, estimate: Long) {
+        val adapter = facts.adapter ?: return
+        if (loadAsks >= MOST_LOAD_ASKS) return refuse("load_failed", LOAD_RETRY_MILLIS)
+        loadAsks++
+        val place = reserve(server)
+        val version = context.version(adapter, context.now()) ?: 0
+        val missing = missingAt === server
+        val askedAt = context.now()
+        context.loads.ask(server, adapter, version, missing) { failure ->
+            if (over || reservation !== place) return@ask
+            if (failure == null) {
+                log("loaded", "server=${server.id} adapter=$adapter waited_ms=${context.now() - askedAt}")
+                dispatch(server, estimate)
+            } else {
+                log("load_failed", "server=${server.id} adapter=$adapter reason=$failure")
+                place.release()
+                tried.add(server.id)
+                place()
+            }
+        }
+    }
+
+    private fun send(server: Server, estimate: Long) {
+        reserve(server)
+        dispatch(server, estimate)
+    }
+
+    private fun reserve(server: Server): WorkLedger.Reservation {
+        reservation?.release()
+        return context.ledger.reserve(server, facts.adapter, facts.promptTokens, facts.outputTokens)
+            .also { reservation = it }
+    }
+
+    private fun dispatch(server: Server, estimate: Long) {
+        if (sends > 0 && !context.budget(service).take(context.now(), context.nodes())) return exhausted()
+        val limit = (spec?.maxConnections ?: Int.MAX_VALUE) / context.nodes()
+        val once = route.kind == RouteKind.AT_MOST_ONCE
+        val place = reservation
+        context.pool.acquire(server, limit.coerceAtLeast(FEWEST_CONNECTIONS), once) { got, failure ->
+            when {
+                over || reservation !== place -> got?.abandon()
+                got == null -> unreachable(server, failure.orEmpty())
+                else -> write(server, got, estimate)
+            }
+        }
+    }
+
+    private fun unreachable(server: Server, failure: String) {
+        log("unreachable", "server=${server.id} reason=\"$failure\"")
+        if (failure != "connection limit") server.health.unreachable(context.now())
+        reservation?.release()
+        tried.add(server.id)
+        if (tried.size > MOST_TRIED) return refuse("unreachable", LOAD_RETRY_MILLIS)
+        place()
+    }
+
+    private fun write(server: Server, got: HttpLink, estimate: Long) {
+        val now = context.now()
+        val left = endsAt - now - ANSWER_MILLIS
+        if (left <= 0) {
+            got.abandon()
+            return refuse("no_time", 0)
+        }
+        link = got
+        got.mayGiveUp = route.kind != RouteKind.AT_MOST_ONCE
+        sends++
+        val priority = if (spec?.engine == null) null else route.priority.coerceAtMost(LOWEST_PRIORITY)
+        val version = facts.adapter?.let { context.version(it, now) }
+        val send = ServerSend(server.id, left, delivery.lastEvent, version, priority)
+        log("sent", "server=${server.id} send=$sends entry_age_ms=${now - server.readAt} estimate_ms=$estimate")
+        val headers = context.dialect.toServer(request.headers, send)
+        val tokens = server.use(now).unreadTokens
+        val attempt = Attempt(this, context, delivery, server, got, facts.id, tokens, now)
+        got.send(request.method, request.uri, headers, request.body.retainedDuplicate(), attempt)
+        if (!answer.writable) got.read(false)
+    }
+
+    /** The server said that it did not run the request. */
+    fun notRun(server: Server, said: ServerAnswer) {
+        link = null
+        reservation?.release()
+        log("not_run", "server=${server.id} status=${said.status} answered_by=${said.server}")
+        val other = said.server != null && said.server != server.id.value
+        when {
+            other -> {
+                server.health.unreachable(context.now())
+                tried.add(server.id)
+            }
+            said.misdirected -> {
+                facts.adapter?.let(server::lacks)
+                missingAt = server
+            }
+            else -> tried.add(server.id)
+        }
+        again("not_run")
+    }
+
+    /** The server answered that it ran the request and failed; returns whether the request goes elsewhere. */
+    fun failed(server: Server): Boolean {
+        runs++
+        server.health.failed()
+        if (!route.repeatable || runs >= route.maxAttempts || delivery.begun) return false
+        if (context.now() + route.targetMillis / 2 > endsAt) return false
+        if (!context.budget(service).available(context.now(), context.nodes())) return false
+        link = null
+        reservation?.release()
+        tried.add(server.id)
+        log("failed", "server=${server.id} runs=$runs")
+        again("failed")
+        return true
+    }
+
+    /** The outcome at the server is not known. */
+    fun unknown(server: Server, reason: String) {
+        runs++
+        link = null
+        reservation?.release()
+        server.health.failed()
+        tried.add(server.id)
+        log("broken", "server=${server.id} reason=\"$reason\" runs=$runs event=${delivery.lastEvent}")
+        if (over) return
+        if (route.repeatable && runs < route.maxAttempts) again("broken") else lost(reason)
+    }
+
+    /** The whole answer was passed on. */
+    fun done(outcome: String) {
+        link = null
+        finish(outcome, keepLink = true)
+    }
+
+    /** First byte or event for the caller. */
+    fun firstEvent(millisSinceSend: Long, tokensBefore: Long, server: Server) {
+        reservation?.read()
+        if (stream) server.pace.learnFirst(tokensBefore, millisSinceSend)
+        context.metrics.answered(route.kind.name, context.now() - startedAt)
+    }
+
+    private fun again(reason: String) {
+        if (sends > MOST_SENDS) return exhausted()
+        context.metrics.repeated(reason)
+        place()
+    }
+
+    private fun exhausted() {
+        reservation?.release()
+        if (runs > 0) lost("repeat budget") else refuse("repeat_budget", LOAD_RETRY_MILLIS)
+    }
+
+    /** Ends a request that may have run. */
+    private fun lost(reason: String) {
+        if (delivery.begun) {
+            answer.cutOff()
+        } else {
+            own(HttpResponseStatus.BAD_GATEWAY, null)
+        }
+        finish("lost reason=\"$reason\"", keepLink = false)
+    }
+
+    /** Ends a request that has not run and will not. */
+    private fun refuse(reason: String, retryAfterMillis: Long) {
+        if (runs > 0 || delivery.begun) return lost(reason)
+        context.metrics.refused(reason)
+        own(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMillis.takeIf { it > 0 })
+        finish("refused reason=$reason retry_after_ms=$retryAfterMillis", keepLink = false)
+    }
+
+    private fun timeUp() {
+        if (over) return
+        val sent = link != null
+        link?.abandon()
+        link = null
+        when {
+            delivery.begun -> answer.cutOff()
+            sent || runs > 0 -> own(HttpResponseStatus.GATEWAY_TIMEOUT, null)
+            else -> own(HttpResponseStatus.SERVICE_UNAVAILABLE, null)
+        }
+        finish("time_up sent=$sent", keepLink = false)
+    }
+
+    private fun own(status: HttpResponseStatus, retryAfterMillis: Long?) {
+        answer.whole(status, context.dialect.own(facts.id, retryAfterMillis), Unpooled.EMPTY_BUFFER)
+    }
+
+    private fun finish(outcome: String, keepLink: Boolean) {
+        if (over) return
+        over = true
+        timer.cancel(false)
+        if (!keepLink) link?.abandon()
+        link = null
+        reservation?.release()
+        delivery.release()
+        request.body.release()
+        context.open--
+        context.metrics.ended(route.kind.name, outcome.substringBefore(' '))
+        log("ended", "outcome=$outcome sends=$sends ms=${context.now() - startedAt}")
+    }
+
+    private fun log(event: String, detail: String) {
+        context.log.write { "event=$event request=${facts.id} route=${route.name} $detail" }
+    }
+
+    private companion object {
+        /** First events later than this many objectives are not worth the queue that they make others wait in. */
+        const val PATIENCE = 1.5
+        const val MOST_LOAD_ASKS = 2
+        const val MOST_TRIED = 3
+        const val MOST_SENDS = 4
+
+        /** A few adapter loads. */
+        const val LOAD_RETRY_MILLIS = 400L
+
+        /** Time for a server's own answer at its deadline to arrive before this node gives up. */
+        const val ANSWER_MILLIS = 30L
+        const val FEWEST_CONNECTIONS = 4
+        const val LOWEST_PRIORITY = 9
+    }
+}
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
@@ -0,0 +1,46 @@
+package io.apricotslip.gateway.exchange
+
+import io.apricotslip.api.id.ServiceId
+import io.apricotslip.gateway.Dialect
+import io.apricotslip.gateway.observe.DecisionLog
+import io.apricotslip.gateway.observe.GatewayMetrics
+import io.apricotslip.gateway.server.ServerPool
+import io.apricotslip.serving.fleet.Fleet
+import io.apricotslip.serving.fleet.ServedAdapter
+import io.apricotslip.serving.fleet.Server
+import io.apricotslip.serving.placement.EngineChoice
+import io.apricotslip.serving.placement.PlainChoice
+import io.apricotslip.serving.retry.RepeatBudget
+import io.apricotslip.serving.state.DesiredState
+import io.netty.channel.EventLoop
+
+/** What the exchanges of a node share; everything runs on [loop]. */
+internal class ExchangeContext(
+    val loop: EventLoop,
+    val now: () -> Long,
+    val dialect: Dialect,
+    val fleet: Fleet,
+    val pool: ServerPool,
+    val ledger: WorkLedger,
+    val engines: EngineChoice,
+    val plain: PlainChoice,
+    val loads: AdapterLoads,
+    val log: DecisionLog,
+    val metrics: GatewayMetrics,
+    val desired: () -> DesiredState?,
+    val nodes: () -> Int,
+    val budget: (ServiceId) -> RepeatBudget,
+    val version: (ServedAdapter, Long) -> Long?,
+    val stopping: () -> Boolean,
+) {
+    /** Requests under way. */
+    var open: Int = 0
+
+    /** Asks for an adapter to be loaded at a server. */
+    fun interface AdapterLoads {
+        /**
+         * Asks for [adapter] in at least [version] at [server]; [missing] tells that the server said it does not hold it.
+         */
+        fun ask(server: Server, adapter: ServedAdapter, version: Long, missing: Boolean, done: (String?) -> Unit)
+    }
+}
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchanges.kt
@@ -0,0 +1,79 @@
+package io.apricotslip.gateway.exchange
+
+import io.apricotslip.gateway.caller.CallerAnswer
+import io.apricotslip.gateway.caller.CallerHandler
+import io.apricotslip.gateway.caller.CallerRequest
+import io.apricotslip.gateway.caller.CallerWatcher
+import io.apricotslip.gateway.server.ServerPool
+import io.apricotslip.serving.fleet.Server
+import io.apricotslip.serving.state.DesiredState
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponseStatus
+import kotlin.random.Random
+
+/** Finds the route of each request and starts its exchange. */
+internal class Exchanges(private val context: ExchangeContext) : CallerHandler {
+    private object Nobody : CallerWatcher {
+        override fun callerLeft() = Unit
+
+        override fun callerReads(writable: Boolean) = Unit
+    }
+
+    /** Requests under way. */
+    val open: Int
+        get() = context.open
+
+    override fun begin(request: CallerRequest, answer: CallerAnswer): CallerWatcher {
+        val facts = context.dialect.facts(request.headers)
+        val state = context.desired()
+        if (state == null || context.stopping()) {
+            return refuse(answer, facts, HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_READY_RETRY_MILLIS, "not_ready")
+        }
+        val host = request.headers.get(HttpHeaderNames.HOST).orEmpty().substringBefore(':')
+        val route = state.route(host, request.path)
+            ?: return refuse(answer, facts, HttpResponseStatus.NOT_FOUND, null, "no_route version=${state.version}")
+        val service = route.service(Random.nextDouble())
+        val exchange = Exchange(context, request, answer, facts, route, service, state.services[service])
+        exchange.begin()
+        return exchange
+    }
+
+    /** Gives up requests at servers that sent nothing for too long, and avoids those servers for a while. */
+    fun dropSilent(servers: Collection<Server>, pool: ServerPool, now: Long) {
+        for (server in servers) {
+            val busy = pool.busy(server.id)
+            if (busy.isEmpty()) continue
+            val silent = busy.filter { it.busy && now - it.activeAt > SILENT_LINK_MILLIS && it.mayGiveUp }
+            val deaf = now - server.health.heardAt > SILENT_SERVER_MILLIS
+            val waiting = busy.filter { it.busy && now - it.activeAt > SILENT_SERVER_MILLIS && it.mayGiveUp }
+            if (deaf && waiting.isNotEmpty()) server.health.unreachable(now)
+            val given = if (deaf) waiting else silent
+            given.forEach { it.fail("server silent") }
+        }
+    }
+
+    private fun refuse(
+        answer: CallerAnswer,
+        facts: RequestFacts,
+        status: HttpResponseStatus,
+        retryAfterMillis: Long?,
+        reason: String,
+    ): CallerWatcher {
+        context.metrics.refused(reason.substringBefore(' '))
+        context.log.write { "event=refused request=${facts.id} status=${status.code()} reason=$reason" }
+        answer.whole(status, context.dialect.own(facts.id, retryAfterMillis), Unpooled.EMPTY_BUFFER)
+        return Nobody
+    }
+
+    private companion object {
+        /** About the time until a starting node has read the store, or a peer answers instead of a stopping one. */
+        const val NOT_READY_RETRY_MILLIS = 300L
+
+        /** Many event pauses: an engine with requests under way sends something far more often. */
+        const val SILENT_SERVER_MILLIS = 900L
+
+        /** A stream alone may pause while others of the same engine go on, when its memory was taken. */
+        const val SILENT_LINK_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/RequestFacts.kt
@@ -0,0 +1,23 @@
+package io.apricotslip.gateway.exchange
+
+import io.apricotslip.serving.fleet.ServedAdapter
+
+/**
+ * What the headers of a caller's request say.
+ *
+ * @property id name of this attempt; null when the caller gave none.
+ * @property deadlineMillis how long the caller waits; null when it does not say.
+ * @property lastEvent last event of the stream that the caller has; null at the start.
+ * @property promptTokens length of the prompt; 0 when unknown.
+ * @property outputTokens largest length of the answer; 0 when unknown.
+ * @property session name of the session that the prompt belongs to; null without one.
+ */
+public data class RequestFacts(
+    public val id: String?,
+    public val deadlineMillis: Long? = null,
+    public val adapter: ServedAdapter? = null,
+    public val lastEvent: Long? = null,
+    public val promptTokens: Int = 0,
+    public val outputTokens: Int = 0,
+    public val session: String? = null,
+)
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/observe/GatewayMetrics.kt
@@ -0,0 +1,58 @@
+package io.apricotslip.gateway.observe
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Metrics of a gateway, in a registry of their own. */
+public class GatewayMetrics {
+    private val registry = PrometheusRegistry()
+    private val requests = counter("apricotslip_exchanges", "Requests by route kind and outcome.", "kind", "outcome")
+    private val refusals = counter("apricotslip_exchange_refusals", "Refused requests by reason.", "reason")
+    private val repeats = counter("apricotslip_exchange_repeats", "Requests sent again by reason.", "reason")
+    private val orders = counter("apricotslip_server_orders", "Orders to backend servers.", "order", "result")
+    private val storeCalls = counter("apricotslip_store_calls", "Calls to the platform's store.", "call", "result")
+    private val firstByte = Histogram.builder()
+        .name("apricotslip_first_answer_seconds")
+        .help("Time from the last byte of a request to the first byte or event of its answer.")
+        .labelNames("kind")
+        .classicUpperBounds(*BOUNDS)
+        .classicOnly()
+        .register(registry)
+
+    public fun ended(kind: String, outcome: String): Unit = requests.labelValues(kind, outcome).inc()
+
+    public fun refused(reason: String): Unit = refusals.labelValues(reason).inc()
+
+    public fun repeated(reason: String): Unit = repeats.labelValues(reason).inc()
+
+    public fun ordered(order: String, result: String): Unit = orders.labelValues(order, result).inc()
+
+    public fun storeCalled(call: String, result: String): Unit = storeCalls.labelValues(call, result).inc()
+
+    public fun answered(kind: String, millis: Long): Unit =
+        firstByte.labelValues(kind).observe(millis / MILLIS_PER_SECOND)
+
+    /** Registers a gauge that is read when metrics are asked for. */
+    public fun watch(name: String, help: String, read: () -> Double) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(read()) }.register(registry)
+    }
+
+    /** All metrics in the text format. */
+    public fun text(): ByteArray {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(out, registry.scrape())
+        return out.toByteArray()
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+        val BOUNDS = doubleArrayOf(0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.6, 2.5, 5.0, 10.0)
+    }
+}
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
@@ -0,0 +1,134 @@
+package io.apricotslip.gateway.order
+
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.FenceNumber
+import io.apricotslip.api.id.VmId
+import io.apricotslip.api.peer.FleetMessage
+import io.apricotslip.gateway.observe.DecisionLog
+import io.apricotslip.serving.fleet.Fleet
+import io.apricotslip.serving.fleet.ServedAdapter
+import io.apricotslip.serving.fleet.Server
+import io.apricotslip.serving.order.AdapterPlaces
+import io.apricotslip.serving.order.OrderClaims
+import io.apricotslip.serving.state.DesiredState
+import io.apricotslip.serving.state.ServiceSpec
+
+/** The backend servers whose orders this node gives, and the claims by which it does. */
+internal class OrderDesk(
+    private val fleet: Fleet,
+    private val claims: OrderClaims,
+    private val desired: () -> DesiredState?,
+    private val log: DecisionLog,
+    desk: (refused: (Server) -> Unit) -> ServerOrders.Desk,
+) {
+    private val shared = desk(::refused)
+    private val held = HashMap<BackendServerId, ServerOrders>()
+
+    /** The orders for [server] if this node gives them. */
+    fun held(server: BackendServerId): ServerOrders? = held[server]
+
+    /** The node that gives the orders for [server], as far as known. */
+    fun holder(server: BackendServerId): VmId? = claims.holder(server)
+
+    /** Claims what no other node holds, and drops what is gone. */
+    fun tick(live: Collection<VmId>, connected: Boolean, wallSeconds: Long) {
+        val now = shared.now()
+        dropGone()
+        if (connected) {
+            val engines = fleet.all.filter { spec(it) != null && it.leavingSince == null }.map { it.id }
+            claims.claim(engines, live, wallSeconds, now).forEach(::take)
+        }
+        held.values.toList().forEach {
+            it.tick()
+            loadModel(it)
+        }
+    }
+
+    /** Takes what a peer claims. */
+    fun heard(peer: VmId, claim: FleetMessage.ServerClaim) {
+        val now = shared.now()
+        if (claims.heard(claim.server, peer, claim.fence, now)) drop(claim.server, "claimed by $peer")
+        val server = fleet[claim.server] ?: return
+        if (claims.holder(claim.server) != peer || server.entry.bornMillis != claim.born) return
+        server.toldByHolder(
+            claim.resident.mapKeys { ServedAdapter.parse(it.key) },
+            claim.incoming.mapTo(HashSet(), ServedAdapter::parse),
+            now,
+        )
+    }
+
+    /** What this node claims, for its peers. */
+    fun report(): List<FleetMessage.ServerClaim> = held.values.map {
+        FleetMessage.ServerClaim(
+            server = it.server.id,
+            born = it.server.entry.bornMillis,
+            fence = claims.mine(it.server.id) ?: FenceNumber(0),
+            resident = it.places.resident.mapKeys { (adapter, _) -> adapter.toString() },
+            incoming = it.places.incoming.map(ServedAdapter::toString),
+        )
+    }
+
+    /** Has [adapter] replaced by [version] where it is older. */
+    fun renew(adapter: ServedAdapter, version: Long) {
+        held.values.toList().forEach { orders ->
+            val present = orders.places.resident[adapter] ?: return@forEach
+            if (present < version) orders.ask(adapter, version, missing = false) { _, _ -> }
+        }
+    }
+
+    /** Gives all claims up. */
+    fun release() {
+        held.keys.toList().forEach { drop(it, "stopping") }
+        claims.release()
+    }
+
+    private fun take(id: BackendServerId) {
+        val server = fleet[id] ?: return
+        val spec = spec(server) ?: return
+        val fence = claims.mine(id) ?: return
+        val places = AdapterPlaces(capacity(server, spec))
+        places.reported(server.entry.adapters, shared.now())
+        held[id] = ServerOrders(server, places, fence, shared)
+        log.write { "event=claim server=$id fence=$fence adapters=${server.entry.adapters.size}" }
+    }
+
+    /** Places that the weights of the models that the server holds leave for adapters. */
+    private fun capacity(server: Server, spec: ServiceSpec.EngineSpec): Int {
+        val models = spec.models.filter { it.id in server.entry.models }.ifEmpty { spec.models.take(1) }
+        val adapterSize = models.maxOfOrNull { it.adapterMegabytes }?.coerceAtLeast(1.0) ?: 1.0
+        val room = (spec.weightsMegabytes - models.sumOf { it.megabytes }) / adapterSize
+        return minOf(spec.adapterPlaces, room.toInt().coerceAtLeast(0))
+    }
+
+    /** Orders weights for a server that came back empty. */
+    private fun loadModel(orders: ServerOrders) {
+        if (orders.server.entry.models.isNotEmpty()) return
+        val spec = spec(orders.server) ?: return
+        val peers = fleet.staying(orders.server.entry.service)
+        val model = spec.models.minByOrNull { model -> peers.count { model.id in it.entry.models } } ?: return
+        orders.model(ServedAdapter(model.id, null))
+    }
+
+    private fun dropGone() {
+        val gone = held.values.filter { fleet[it.server.id] !== it.server || it.server.leavingSince != null }
+        gone.forEach {
+            drop(it.server.id, "gone")
+            val next = fleet[it.server.id]
+            if (next == null) claims.forget(it.server.id) else if (next.leavingSince == null) take(next.id)
+        }
+    }
+
+    private fun refused(server: Server) {
+        claims.refused(server.id, shared.now())
+        drop(server.id, "fence refused")
+    }
+
+    private fun drop(id: BackendServerId, reason: String) {
+        val orders = held.remove(id) ?: return
+        log.write { "event=claim_dropped server=$id reason=\"$reason\"" }
+        orders.close(reason)
+    }
+
+    private fun spec(server: Server): ServiceSpec.EngineSpec? =
+        desired()?.services?.get(server.entry.service)?.engine
+}
--- a/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/placement/Rendezvous.kt
+++ b/apricotslip-rules/src/main/kotlin/io/apricotslip/rules/placement/Rendezvous.kt
@@ -16,11 +16,12 @@
         return engines.sortedWith(compareBy<EngineEntry> { scores.getValue(it) }.thenBy { it.id })
     }
 
-    private fun score(adapter: AdapterVersion, engine: EngineEntry, weight: Double): Double {
-        val hash = mix(hash("$adapter") xor mix(hash(engine.id.value)))
-        val unit = ((hash ushr SHIFT) + 1) / UNITS
-        return -ln(unit) / weight
-    }
+    /** A number above 0 and at most 1 that belongs to the pair of [first] and [second], the same at all nodes. */
+    public fun unit(first: String, second: String): Double =
+        ((mix(hash(first) xor mix(hash(second))) ushr SHIFT) + 1) / UNITS
+
+    private fun score(adapter: AdapterVersion, engine: EngineEntry, weight: Double): Double =
+        -ln(unit("$adapter", engine.id.value)) / weight
 
     private fun hash(text: String): Long = text.fold(FNV_OFFSET) { h, c -> (h xor c.code.toLong()) * FNV_PRIME }
 
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/EnginePace.kt
@@ -0,0 +1,48 @@
+package io.apricotslip.serving.fleet
+
+import kotlin.math.max
+
+/** Speed of one engine, learned from the times to first events that this node saw. */
+public class EnginePace {
+    private var tokensPerMilli = PRIOR_TOKENS_PER_MILLI
+    private var gapMillis = PRIOR_GAP_MILLIS
+
+    /** Mean pause between two events. */
+    public val gap: Double
+        get() = gapMillis
+
+    /** Estimated time until an engine with [unreadTokens] before a prompt of [promptTokens] sends the first event. */
+    public fun firstEventMillis(unreadTokens: Long, promptTokens: Int): Double =
+        BASE_MILLIS + (unreadTokens + promptTokens) / tokensPerMilli
+
+    /** Learns from a first event that came [millis] after [tokens] (those before it and its own) were sent. */
+    public fun learnFirst(tokens: Long, millis: Long) {
+        val sample = (tokens / max(1.0, millis - BASE_MILLIS)).coerceIn(SLOWEST, FASTEST)
+        // The mean of the inverse is the mean time for a token, which is what the estimate multiplies.
+        tokensPerMilli = 1 / (1 / tokensPerMilli * (1 - WEIGHT) + 1 / sample * WEIGHT)
+    }
+
+    /** Learns from two events that came [millis] apart. */
+    public fun learnGap(millis: Long) {
+        gapMillis = gapMillis * (1 - GAP_WEIGHT) + millis * GAP_WEIGHT
+    }
+
+    private companion object {
+        /** Below the 25.8 tokens a millisecond of the deployments' sheets, as reading shares steps with decoding. */
+        const val PRIOR_TOKENS_PER_MILLI = 16.0
+
+        /** Three tokens an event at some 15 ms a step, from the deployments' sheets. */
+        const val PRIOR_GAP_MILLIS = 45.0
+
+        /** One step and the way there and back. */
+        const val BASE_MILLIS = 25.0
+        const val SLOWEST = 0.5
+        const val FASTEST = 60.0
+
+        /** About the last eight first events count. */
+        const val WEIGHT = 0.12
+
+        /** About the last fifty events count. */
+        const val GAP_WEIGHT = 0.02
+    }
+}
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
@@ -0,0 +1,111 @@
+package io.apricotslip.serving.fleet
+
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.VmId
+
+/** What this node believes about one life of one backend server. */
+public class Server(entry: ServerEntry, revision: Long, now: Long) {
+    /** What it published last. */
+    public var entry: ServerEntry = entry
+        private set
+
+    /** Revision of the store at which [entry] was written. */
+    public var revision: Long = revision
+        private set
+
+    /** Time at which [entry] was read. */
+    public var readAt: Long = now
+        private set
+
+    /** Time from which no new work goes there, or null. */
+    public var leavingSince: Long? = now.takeIf { entry.leaving }
+        private set
+
+    public val id: BackendServerId
+        get() = entry.id
+    public val health: ServerHealth = ServerHealth()
+    public val pace: EnginePace = EnginePace()
+
+    /** Adapters that it holds with their versions, by its entry or its order holder, whichever is newer. */
+    public var adapters: Map<ServedAdapter, Long> = entry.adapters
+        private set
+
+    /** Adapters that are on their way to it. */
+    public var incoming: Set<ServedAdapter> = emptySet()
+        private set
+
+    /** Work of this node there. */
+    public var own: UseCounts = UseCounts()
+
+    private class PeerUse(val counts: UseCounts, val at: Long)
+
+    private val peers = HashMap<VmId, PeerUse>()
+    private var toldByHolderAt = Long.MIN_VALUE / 2
+    private val held = LinkedHashSet<ServedAdapter>()
+
+    /** Takes a newer entry of the same life. */
+    public fun update(newer: ServerEntry, at: Long, now: Long) {
+        if (at < revision) return
+        entry = newer
+        revision = at
+        readAt = now
+        if (newer.leaving && leavingSince == null) leavingSince = now
+        if (!newer.leaving) leavingSince = null
+        if (now - toldByHolderAt > HOLDER_SILENT_MILLIS) hold(newer.adapters, emptySet())
+    }
+
+    /** Takes what the holder of the orders for this server knows of its places. */
+    public fun toldByHolder(resident: Map<ServedAdapter, Long>, coming: Set<ServedAdapter>, now: Long) {
+        toldByHolderAt = now
+        hold(resident, coming)
+    }
+
+    /** Drops [adapter]: the server said that it does not hold it. */
+    public fun lacks(adapter: ServedAdapter) {
+        adapters = adapters - adapter
+    }
+
+    /** Takes note that an ordered load of [adapter] is done. */
+    public fun loaded(adapter: ServedAdapter, version: Long) {
+        hold(adapters + (adapter to version), incoming - adapter)
+    }
+
+    /** Whether the server held [adapter] not long ago, which makes a load of it short. */
+    public fun heldBefore(adapter: ServedAdapter): Boolean = adapter in held
+
+    /** Takes the counts of [peer]. */
+    public fun peerUses(peer: VmId, counts: UseCounts, now: Long) {
+        if (counts == NONE) peers.remove(peer) else peers[peer] = PeerUse(counts, now)
+    }
+
+    /** Work of all nodes there, as far as known at [now]. */
+    public fun use(now: Long): UseCounts {
+        if (peers.isEmpty()) return own
+        var sum = own
+        for (use in peers.values) if (now - use.at < PEER_USE_MILLIS) sum += use.counts
+        return sum
+    }
+
+    private fun hold(resident: Map<ServedAdapter, Long>, coming: Set<ServedAdapter>) {
+        adapters = resident
+        incoming = coming
+        for (adapter in resident.keys) {
+            held.remove(adapter)
+            held.add(adapter)
+        }
+        while (held.size > HELD_BEFORE) held.remove(held.first())
+    }
+
+    private companion object {
+        val NONE = UseCounts()
+
+        /** Ten reports of a peer: a peer that is silent for longer is gone, and so are its requests. */
+        const val PEER_USE_MILLIS = 2_000L
+
+        /** Several reports of a holder; after that the published entry is the better source. */
+        const val HOLDER_SILENT_MILLIS = 2_500L
+
+        /** Adapters that an engine keeps in the memory of its host, by the deployments' sheets. */
+        const val HELD_BEFORE = 120
+    }
+}
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerEntry.kt
@@ -0,0 +1,29 @@
+package io.apricotslip.serving.fleet
+
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.ModelId
+import io.apricotslip.api.id.ServiceId
+import io.apricotslip.api.id.ZoneId
+
+/**
+ * What a backend server publishes about itself.
+ *
+ * @property bornMillis Unix time of its start; tells two lives under one id apart.
+ * @property slots requests that it works on at once.
+ * @property leaving whether it announced that it leaves.
+ * @property remainingMillis time after which a leaving server is gone whatever it runs, when it says so.
+ * @property adapters versions of the adapters that it holds, by adapter.
+ */
+public data class ServerEntry(
+    public val id: BackendServerId,
+    public val service: ServiceId,
+    public val host: String,
+    public val port: Int,
+    public val zone: ZoneId,
+    public val bornMillis: Long,
+    public val slots: Int,
+    public val leaving: Boolean = false,
+    public val remainingMillis: Long? = null,
+    public val models: Set<ModelId> = emptySet(),
+    public val adapters: Map<ServedAdapter, Long> = emptyMap(),
+)
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/Members.kt
@@ -0,0 +1,48 @@
+package io.apricotslip.serving.member
+
+import io.apricotslip.api.id.VmId
+
+/**
+ * The nodes that this node knows of, found through seeds and through what peers tell.
+ *
+ * Nothing that must be safe rests on it; it decides who orders what first, and shares of budgets.
+ */
+public class Members(private val self: VmId, seeds: Collection<VmId>) {
+    private val seeds = seeds.filter { it != self }.toSet()
+    private val heardAt = HashMap<VmId, Long>()
+    private val toldAt = HashMap<VmId, Long>()
+
+    /** Takes note of a message from [peer]. */
+    public fun heard(peer: VmId, now: Long) {
+        heardAt[peer] = now
+    }
+
+    /** Takes note that a peer hears [others]. */
+    public fun told(others: Collection<VmId>, now: Long) {
+        others.forEach { if (it != self) toldAt[it] = now }
+    }
+
+    /** Nodes from which a message came lately, this one included. */
+    public fun live(now: Long): List<VmId> = heardAt.filterValues { now - it < LIVE_MILLIS }.keys.toList() + self
+
+    /** Nodes to keep links to. */
+    public fun wanted(now: Long): Set<VmId> {
+        heardAt.values.removeIf { now - it > FORGET_MILLIS }
+        toldAt.values.removeIf { now - it > FORGET_MILLIS }
+        return seeds + heardAt.keys + toldAt.keys
+    }
+
+    /** Number of nodes that were heard within the time after which one is forgotten; at least 1. */
+    public fun size(): Int = heardAt.size + 1
+
+    /** Whether this node hears at least half of the nodes that it knows, and so is not the one that is cut off. */
+    public fun connected(now: Long): Boolean = live(now).size * 2 >= size()
+
+    private companion object {
+        /** Several reports of a peer. */
+        const val LIVE_MILLIS = 1_500L
+
+        /** Longer than a restart; a node that is away for longer comes back through the seeds. */
+        const val FORGET_MILLIS = 15_000L
+    }
+}
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
@@ -0,0 +1,101 @@
+package io.apricotslip.serving.order
+
+import io.apricotslip.serving.fleet.ServedAdapter
+
+/**
+ * The places for adapters of one engine, as the holder of its orders knows them.
+ *
+ * Loads never exceed [capacity], those under way and those with an unknown outcome counted.
+ */
+public class AdapterPlaces(private val capacity: Int, private val concurrentLoads: Int = CONCURRENT_LOADS) {
+    private val present = LinkedHashMap<ServedAdapter, Resident>()
+    private val coming = LinkedHashMap<ServedAdapter, Long>()
+    private val leaving = HashSet<ServedAdapter>()
+
+    private class Resident(var version: Long, var usedAt: Long)
+
+    /** What to do next for an adapter that is asked for. */
+    public sealed class Step {
+        /** Nothing: it is there. */
+        public data object Present : Step()
+
+        /** Wait: a load is under way, or nothing can be ordered now. */
+        public data object Wait : Step()
+
+        /** Order the load. */
+        public data object Load : Step()
+
+        /** Order [victim] out first. */
+        public data class Unload(public val victim: ServedAdapter) : Step()
+    }
+
+    /** Adapters in place, with their versions. */
+    public val resident: Map<ServedAdapter, Long>
+        get() = present.filterKeys { it !in leaving }.mapValues { it.value.version }
+
+    /** Adapters on their way. */
+    public val incoming: Set<ServedAdapter>
+        get() = coming.keys
+
+    /** The next step for [adapter] in at least [version]; adapters for which [inUse] holds are not dropped. */
+    public fun next(adapter: ServedAdapter, version: Long, now: Long, inUse: (ServedAdapter) -> Boolean): Step {
+        val there = present[adapter]
+        if (there != null && there.version >= version && adapter !in leaving) {
+            there.usedAt = now
+            return Step.Present
+        }
+        if (adapter in coming || adapter in leaving || coming.size >= concurrentLoads) return Step.Wait
+        if (there != null || present.size + coming.size < capacity) return Step.Load
+        val victim = present.filterKeys { it !in leaving && !inUse(it) }.minByOrNull { it.value.usedAt }
+        return if (victim == null) Step.Wait else Step.Unload(victim.key)
+    }
+
+    /** Takes note that [adapter] is in use. */
+    public fun used(adapter: ServedAdapter, now: Long) {
+        present[adapter]?.usedAt = now
+    }
+
+    /** Takes note that a load was ordered. */
+    public fun loading(adapter: ServedAdapter, now: Long) {
+        coming[adapter] = now
+    }
+
+    /** Takes note that a load is done. */
+    public fun loaded(adapter: ServedAdapter, version: Long, now: Long) {
+        coming.remove(adapter)
+        present[adapter] = Resident(version, now)
+    }
+
+    /** Takes note that a load was refused and will not happen. */
+    public fun notLoading(adapter: ServedAdapter) {
+        coming.remove(adapter)
+    }
+
+    /** Takes note that an unload was ordered. */
+    public fun unloading(adapter: ServedAdapter) {
+        leaving.add(adapter)
+    }
+
+    /** Takes note that an unload was refused. */
+    public fun notUnloading(adapter: ServedAdapter) {
+        leaving.remove(adapter)
+    }
+
+    /** Takes note that [adapter] is not there any more. */
+    public fun unloaded(adapter: ServedAdapter) {
+        leaving.remove(adapter)
+        present.remove(adapter)
+    }
+
+    /** Takes what the engine itself reported at [now], when no order is under way. */
+    public fun reported(adapters: Map<ServedAdapter, Long>, now: Long) {
+        if (coming.isNotEmpty() || leaving.isNotEmpty()) return
+        present.keys.retainAll(adapters.keys)
+        for ((adapter, version) in adapters) present.getOrPut(adapter) { Resident(version, now) }.version = version
+    }
+
+    private companion object {
+        /** Adapters that an engine takes at the same time. */
+        const val CONCURRENT_LOADS = 4
+    }
+}
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineAsk.kt
@@ -0,0 +1,22 @@
+package io.apricotslip.serving.placement
+
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.serving.fleet.ServedAdapter
+
+/**
+ * A request for an engine, as far as its placement depends on it.
+ *
+ * @property version oldest version of the adapter that may answer, or null when any may.
+ * @property promptTokens length of the prompt.
+ * @property outputTokens largest length of the answer.
+ * @property budgetMillis time in which the first event is worth waiting for.
+ * @property excluded servers that were tried in vain.
+ */
+public data class EngineAsk(
+    public val adapter: ServedAdapter,
+    public val version: Long?,
+    public val promptTokens: Int,
+    public val outputTokens: Int,
+    public val budgetMillis: Long,
+    public val excluded: Set<BackendServerId> = emptySet(),
+)
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/state/ServiceSpec.kt
@@ -0,0 +1,46 @@
+package io.apricotslip.serving.state
+
+import io.apricotslip.api.id.ModelId
+import io.apricotslip.api.id.ServiceId
+
+/**
+ * A service of the desired state.
+ *
+ * @property maxConnections connections that one backend server accepts from all callers together.
+ * @property engine what its backend servers are, when they serve models.
+ */
+public data class ServiceSpec(
+    public val name: ServiceId,
+    public val maxConnections: Int,
+    public val engine: EngineSpec? = null,
+) {
+    /**
+     * An engine that serves models and adapters.
+     *
+     * @property slots requests in one batch.
+     * @property memoryTokens tokens of prompts and answers that fit into the memory of one engine.
+     * @property adapterPlaces adapters that one engine holds, those on their way included.
+     * @property weightsMegabytes room for weights of models and adapters.
+     * @property modelLoadsPerSecond loads of models that the weight store allows to the whole fleet.
+     */
+    public data class EngineSpec(
+        public val slots: Int,
+        public val memoryTokens: Long,
+        public val adapterPlaces: Int,
+        public val weightsMegabytes: Double,
+        public val modelLoadsPerSecond: Double,
+        public val models: List<ModelSpec>,
+    )
+
+    /**
+     * A model that the engines of a service may hold.
+     *
+     * @property loadMillis time of a load from the weight store.
+     */
+    public data class ModelSpec(
+        public val id: ModelId,
+        public val megabytes: Double,
+        public val adapterMegabytes: Double,
+        public val loadMillis: Long,
+    )
+}
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/Message.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/Message.kt
@@ -8,6 +8,7 @@
 import io.apricotslip.api.id.ServiceId
 import io.apricotslip.api.outcome.Refusal
 import io.apricotslip.api.peer.EngineStatus
+import io.apricotslip.api.peer.FleetMessage
 import io.apricotslip.api.peer.SafetyMessage
 import io.apricotslip.api.work.WorkClass
 import kotlinx.serialization.SerialName
@@ -21,6 +22,11 @@
     @SerialName("s")
     public data class Safety(@SerialName("b") public val body: SafetyMessage) : Message()
 
+    /** A message about backend servers that check instance and adapter themselves. */
+    @Serializable
+    @SerialName("f")
+    public data class Fleet(@SerialName("b") public val body: FleetMessage) : Message()
+
     /** Statuses of the engines that the sender owns. */
     @Serializable
     @SerialName("es")
