--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Dialect.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Dialect.kt
@@ -1,8 +1,10 @@
 package io.apricotslip.gateway
 
+import io.apricotslip.api.id.BackendServerId
 import io.apricotslip.gateway.exchange.RequestFacts
 import io.apricotslip.gateway.exchange.ServerAnswer
 import io.apricotslip.gateway.exchange.ServerSend
+import io.apricotslip.gateway.order.EngineReport
 import io.apricotslip.gateway.order.Order
 import io.apricotslip.gateway.order.OrderCall
 import io.apricotslip.gateway.order.OrderResult
@@ -29,6 +31,12 @@
     /** The HTTP call for [order]. */
     public fun order(order: Order): OrderCall
 
+    /** The HTTP call that asks [server] what it holds. */
+    public fun reportCall(server: BackendServerId): OrderCall
+
+    /** Reads the answer to that call; null when it is none. */
+    public fun report(status: Int, body: String): EngineReport?
+
     /** Reads the answer to an order. */
     public fun orderResult(status: Int): OrderResult
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
@@ -87,8 +87,7 @@
         val spec = spec(server) ?: return
         val fence = claims.mine(id) ?: return
         val places = AdapterPlaces(capacity(server, spec))
-        places.reported(server.entry.adapters, shared.now())
-        held[id] = ServerOrders(server, places, fence, shared)
+        held[id] = ServerOrders(server, places, fence, shared).also(ServerOrders::begin)
         log.write { "event=claim server=$id fence=$fence adapters=${server.entry.adapters.size}" }
     }
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/ServerOrders.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/ServerOrders.kt
@@ -35,11 +35,28 @@
 
     private val asks = ArrayList<Ask>()
     private var closed = false
+    private var known = false
     private var modelOrderedAt = Long.MIN_VALUE / 2
 
+    /** Learns from the server what it holds; nothing is ordered before. */
+    fun begin() {
+        desk.sender.report(server) { report ->
+            if (closed) return@report
+            if (report == null) return@report later(CONFIRM_MILLIS, ::begin)
+            places.reported(report.adapters, desk.now())
+            report.incoming.forEach {
+                places.loading(it, desk.now())
+                later(LOAD_MILLIS) { confirm(it, desk.version(it), 0) }
+            }
+            known = true
+            desk.changed()
+            pump()
+        }
+    }
+
     /** Asks for [adapter] in at least [version]; [missing] tells that the server said it does not hold it. */
     fun ask(adapter: ServedAdapter, version: Long, missing: Boolean, done: (String?, Long) -> Unit) {
-        if (missing) places.unloaded(adapter)
+        if (missing) places.doubted(adapter)
         asks.add(Ask(adapter, version, desk.now(), done))
         pump()
     }
@@ -70,7 +87,7 @@
     }
 
     private fun pump() {
-        if (closed) return
+        if (closed || !known) return
         val now = desk.now()
         for (ask in asks.toList()) {
             when (val step = places.next(ask.adapter, ask.version, now) { desk.inUse(server, it) || wanted(it) }) {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/peer/PeerDesk.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/peer/PeerDesk.kt
@@ -26,6 +26,7 @@
 ) {
     private var followed = emptySet<VmId>()
     private var revision = 0L
+    private var introducedAt = Long.MIN_VALUE / 2
 
     fun start() {
         network.start()
@@ -33,13 +34,18 @@
         follow()
     }
 
-    /** Opens links to nodes that became known. */
+    /** Opens links to nodes that became known, and makes this node known to seeds that do not open a link to it. */
     fun follow() {
-        val wanted = members.wanted(now())
+        val at = now()
+        if (at - introducedAt >= INTRODUCE_MILLIS) {
+            introducedAt = at
+            members.silentSeeds(at).forEach { network.introduce(vm(it)) }
+        }
+        val wanted = members.wanted(at)
         if (wanted == followed) return
         followed = wanted
         revision++
-        network.follow(VmList(ListRevision(revision), wanted.map { Vm(it, zone, it.value, port) }))
+        network.follow(VmList(ListRevision(revision), wanted.map(::vm)))
     }
 
     /** Sends [message] to [peer]; returns whether it was handed to a link. */
@@ -61,7 +67,14 @@
         receive(event.peer, message.body)
     }
 
+    private fun vm(id: VmId) = Vm(id, zone, id.value, port)
+
     private fun failed(cause: Throwable) {
         Logger.error(cause) { "event=links_failed" }
     }
+
+    private companion object {
+        /** Between introductions to a seed that was not heard: short against a start, long against a handshake. */
+        const val INTRODUCE_MILLIS = 700L
+    }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpLink.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpLink.kt
@@ -91,10 +91,9 @@
         channel.config().isAutoRead = on
     }
 
-    override fun channelActive(ctx: ChannelHandlerContext) {
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
         activeAt = now()
-        ctx.fireChannelActive()
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/Members.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/Members.kt
@@ -32,6 +32,9 @@
         return seeds + heardAt.keys + toldAt.keys
     }
 
+    /** Seeds from which no message came lately. */
+    public fun silentSeeds(now: Long): List<VmId> = seeds.filter { now - (heardAt[it] ?: NEVER) >= LIVE_MILLIS }
+
     /** Number of nodes that were heard within the time after which one is forgotten; at least 1. */
     public fun size(): Int = heardAt.size + 1
 
@@ -39,6 +42,8 @@
     public fun connected(now: Long): Boolean = live(now).size * 2 >= size()
 
     private companion object {
+        const val NEVER = Long.MIN_VALUE / 2
+
         /** Several reports of a peer. */
         const val LIVE_MILLIS = 1_500L
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
@@ -12,7 +12,7 @@
     private val coming = LinkedHashMap<ServedAdapter, Long>()
     private val leaving = HashSet<ServedAdapter>()
 
-    private class Resident(var version: Long, var usedAt: Long)
+    private class Resident(var version: Long, var usedAt: Long, var doubtful: Boolean = false)
 
     /** What to do next for an adapter that is asked for. */
     public sealed class Step {
@@ -31,7 +31,7 @@
 
     /** Adapters in place, with their versions. */
     public val resident: Map<ServedAdapter, Long>
-        get() = present.filterKeys { it !in leaving }.mapValues { it.value.version }
+        get() = present.filter { (adapter, at) -> adapter !in leaving && !at.doubtful }.mapValues { it.value.version }
 
     /** Adapters on their way. */
     public val incoming: Set<ServedAdapter>
@@ -40,7 +40,7 @@
     /** The next step for [adapter] in at least [version]; adapters for which [inUse] holds are not dropped. */
     public fun next(adapter: ServedAdapter, version: Long, now: Long, inUse: (ServedAdapter) -> Boolean): Step {
         val there = present[adapter]
-        if (there != null && there.version >= version && adapter !in leaving) {
+        if (there != null && there.version >= version && !there.doubtful && adapter !in leaving) {
             there.usedAt = now
             return Step.Present
         }
@@ -50,6 +50,11 @@
         return if (victim == null) Step.Wait else Step.Unload(victim.key)
     }
 
+    /** Takes note that the server said it does not hold [adapter]; the place stays counted until a load shows it. */
+    public fun doubted(adapter: ServedAdapter) {
+        present[adapter]?.doubtful = true
+    }
+
     /** Takes note that [adapter] is in use. */
     public fun used(adapter: ServedAdapter, now: Long) {
         present[adapter]?.usedAt = now
@@ -87,11 +92,9 @@
         present.remove(adapter)
     }
 
-    /** Takes what the engine itself reported at [now], when no order is under way. */
+    /** Takes what the engine reported before any order of this holder. */
     public fun reported(adapters: Map<ServedAdapter, Long>, now: Long) {
-        if (coming.isNotEmpty() || leaving.isNotEmpty()) return
-        present.keys.retainAll(adapters.keys)
-        for ((adapter, version) in adapters) present.getOrPut(adapter) { Resident(version, now) }.version = version
+        for ((adapter, version) in adapters) present[adapter] = Resident(version, now)
     }
 
     private companion object {
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/KtorPeerNetwork.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/KtorPeerNetwork.kt
@@ -58,6 +58,7 @@
     private val table = LinkTable(self, options.maxUnlistedLinks, inbox)
     private val greeter = Greeter(self, incarnation, build, options, ticker, table)
     private val followed = HashMap<VmId, Followed>()
+    private val introductions = HashMap<VmId, Job>()
 
     override fun start(): Int {
         val server = runBlocking { aSocket(selector).tcp().bind(address, port) { reuseAddress = true } }
@@ -74,6 +75,12 @@
         wanted.values.filter { it.id !in followed }.forEach(::dial)
     }
 
+    @Synchronized
+    override fun introduce(vm: Vm) {
+        if (table[vm.id] != null || introductions[vm.id]?.isActive == true) return
+        introductions[vm.id] = scope.launch { dialer(vm).once() }
+    }
+
     override fun send(peer: VmId, message: Message): SendResult {
         val link = table[peer] ?: return SendResult.NO_LINK
         val content = FrameCodec.encode(Frame(message = message))
@@ -103,10 +110,13 @@
     }
 
     private fun dial(vm: Vm) {
+        followed[vm.id] = Followed(vm, scope.launch { dialer(vm).run() })
+    }
+
+    private fun dialer(vm: Vm): Dialer {
         val backoff =
             Backoff(options.reconnectMillis, options.maxReconnectMillis, options.reconnectJitter, random)
-        val dialer = Dialer(vm, selector, options.connectMillis, backoff, greeter)
-        followed[vm.id] = Followed(vm, scope.launch { dialer.run() })
+        return Dialer(vm, selector, options.connectMillis, backoff, greeter)
     }
 
     private fun report(context: CoroutineContext, cause: Throwable) {
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/PeerNetwork.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/PeerNetwork.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.wire
 
+import io.apricotslip.api.fleet.Vm
 import io.apricotslip.api.fleet.VmList
 import io.apricotslip.api.id.Incarnation
 import io.apricotslip.api.id.VmId
@@ -40,6 +41,12 @@
     /** Opens links to the VMs of [list] and closes those to others. */
     public fun follow(list: VmList)
 
+    /**
+     * Opens a link to [vm] once, when there is none, whatever the order of the names: a node that the other one does not
+     * know yet makes itself known. The link is not opened again when it ends.
+     */
+    public fun introduce(vm: Vm)
+
     /** Sends [message] to [peer]; never blocks. */
     public fun send(peer: VmId, message: Message): SendResult
 
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Dialer.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Dialer.kt
@@ -22,12 +22,13 @@
     /** Opens the link again and again until cancelled. */
     suspend fun run() {
         while (true) {
-            attempt()
+            once()
             delay(backoff.next())
         }
     }
 
-    private suspend fun attempt() {
+    /** Opens the link and serves it until it ends. */
+    suspend fun once() {
         try {
             greeter.serve(connect(), expected = vm.id, onGreeted = ::succeeded)
         } catch (e: Exception) {
