--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/ServerOrders.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/ServerOrders.kt
@@ -124,17 +124,25 @@
         }
     }
 
-    /** Repeats the order of a load: the server answers that it is done as soon as it is. */
+    /**
+     * Repeats the order of a load: the server answers that it is done as soon as it is. A load that was accepted keeps its
+     * place however long it takes, as the server may be about to fill it.
+     */
     private fun confirm(adapter: ServedAdapter, version: Long, tries: Int) {
         order(load = true, adapter) { result ->
-            when {
-                result == OrderResult.DONE -> loaded(adapter, version)
-                tries >= MOST_CONFIRMS || result == OrderResult.REJECTED -> notLoaded(adapter)
-                else -> later(CONFIRM_MILLIS) { confirm(adapter, version, tries + 1) }
+            when (result) {
+                OrderResult.DONE -> loaded(adapter, version)
+                OrderResult.REJECTED, OrderResult.MISDIRECTED -> notLoaded(adapter)
+                else -> {
+                    if (tries == MOST_CONFIRMS) failAsks(adapter, "load takes too long")
+                    later(pause(tries)) { confirm(adapter, version, tries + 1) }
+                }
             }
         }
     }
 
+    private fun pause(tries: Int): Long = if (tries < MOST_CONFIRMS) CONFIRM_MILLIS else SLOW_CONFIRM_MILLIS
+
     private fun loaded(adapter: ServedAdapter, version: Long) {
         places.loaded(adapter, version, desk.now())
         server.loaded(adapter, version)
@@ -144,10 +152,14 @@
 
     private fun notLoaded(adapter: ServedAdapter) {
         places.notLoading(adapter)
+        failAsks(adapter, "order refused")
+        desk.changed()
+    }
+
+    private fun failAsks(adapter: ServedAdapter, reason: String) {
         val failed = asks.filter { it.adapter == adapter }
         asks.removeAll(failed)
-        failed.forEach { it.done("order refused", 0) }
-        desk.changed()
+        failed.forEach { it.done(reason, 0) }
     }
 
     private fun unload(victim: ServedAdapter) {
@@ -161,8 +173,8 @@
         order(load = false, victim) { result ->
             when {
                 result == OrderResult.DONE || result == OrderResult.MISDIRECTED -> unloaded(victim)
-                tries >= MOST_CONFIRMS || result == OrderResult.REJECTED -> places.notUnloading(victim)
-                else -> later(CONFIRM_MILLIS) { dropOrder(victim, tries + 1) }
+                result == OrderResult.REJECTED -> places.notUnloading(victim)
+                else -> later(pause(tries)) { dropOrder(victim, tries + 1) }
             }
         }
     }
@@ -200,7 +212,10 @@
 
         /** Between confirmations: a confirmation costs a small call, a late one delays the request. */
         const val CONFIRM_MILLIS = 30L
-        const val MOST_CONFIRMS = 60
+
+        /** Confirmations until a load or unload is taken as slow; more than a second. */
+        const val MOST_CONFIRMS = 40
+        const val SLOW_CONFIRM_MILLIS = 200L
 
         /** After this an ask is answered, so that the request can go elsewhere within its objective. */
         const val ASK_MILLIS = 1_200L
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
@@ -44,12 +44,22 @@
             there.usedAt = now
             return Step.Present
         }
-        if (adapter in coming || adapter in leaving || coming.size >= concurrentLoads) return Step.Wait
+        if (adapter in coming || adapter in leaving) return Step.Wait
+        if (coming.size + leaving.size >= concurrentLoads) return Step.Wait
         if (there != null || present.size + coming.size < capacity) return Step.Load
-        val victim = present.filterKeys { it !in leaving && !inUse(it) }.minByOrNull { it.value.usedAt }
-        return if (victim == null) Step.Wait else Step.Unload(victim.key)
+        val victim = victim(now, inUse)
+        return if (victim == null) Step.Wait else Step.Unload(victim)
     }
 
+    /**
+     * The adapter that was not used for the longest time. An engine takes no other order while it waits for the runs of one
+     * that it should drop, so those used so lately that the reports of other nodes may not show it are left alone.
+     */
+    private fun victim(now: Long, inUse: (ServedAdapter) -> Boolean): ServedAdapter? = present
+        .filter { (adapter, at) -> adapter !in leaving && now - at.usedAt >= RECENT_MILLIS && !inUse(adapter) }
+        .minByOrNull { it.value.usedAt }
+        ?.key
+
     /** Takes note that the server said it does not hold [adapter]; the place stays counted until a load shows it. */
     public fun doubted(adapter: ServedAdapter) {
         present[adapter]?.doubtful = true
@@ -94,11 +104,14 @@
 
     /** Takes what the engine reported before any order of this holder. */
     public fun reported(adapters: Map<ServedAdapter, Long>, now: Long) {
-        for ((adapter, version) in adapters) present[adapter] = Resident(version, now)
+        for ((adapter, version) in adapters) present[adapter] = Resident(version, now - RECENT_MILLIS)
     }
 
     private companion object {
         /** Adapters that an engine takes at the same time. */
         const val CONCURRENT_LOADS = 4
+
+        /** Two reports of another node. */
+        const val RECENT_MILLIS = 300L
     }
 }
