--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -69,7 +69,7 @@
     private val peers = PeerDesk(network, members, loop, options.zone, options.linkPort, ::now, ::receive)
     private val peerAdapters = HashMap<VmId, Map<BackendServerId, Set<ServedAdapter>>>()
     private val orders = OrderDesk(fleet, claims, { state }, log, ::desk)
-    private val loads = PeerLoads(options.self, loop, orders, peers::send, ::now)
+    private val loads = PeerLoads(options.self, loop, orders, peers::send)
     private val exchanges = Exchanges(exchangeContext())
     private val callers = CallerServer(
         loop,
@@ -171,18 +171,17 @@
         loop = loop,
         now = ::now,
         dialect = dialect,
-        fleet = fleet,
-        pool = pool,
-        ledger = ledger,
-        engines = EngineChoice(options.zone, ::loadable),
-        plain = PlainChoice(options.zone),
-        loads = { server, adapter, version, missing, done -> loads.ask(server, adapter, version, missing, done) },
+        servers = ExchangeContext.Servers(fleet, pool, ledger, loads::ask),
+        rules = ExchangeContext.Rules(
+            engines = EngineChoice(options.zone, ::loadable),
+            plain = PlainChoice(options.zone),
+            budget = ::budget,
+            version = versions::needed,
+        ),
         log = log,
         metrics = metrics,
         desired = { state },
         nodes = members::size,
-        budget = ::budget,
-        version = versions::needed,
         stopping = { stoppingSince?.let { now() - it > ACCEPT_MILLIS } ?: false },
     )
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/GatewayOptions.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/GatewayOptions.kt
@@ -13,8 +13,6 @@
  * @property repeatSlack requests that it may send again beyond that, in [repeatWindowMillis].
  * @property orderLeaseMillis silence of orders between two holders.
  * @property graceMillis time from the request to stop until the process is killed.
- * @property drainMillis time after which nothing new goes to a leaving backend server.
- * @property versionMillis time in which a new version of an adapter replaces older ones.
  * @property maxCallers connections of callers.
  * @property maxBodyBytes memory for bodies of requests under way.
  */
@@ -31,12 +29,11 @@
     public val seeds: List<VmId>,
     public val linkPort: Int,
     public val metricsPort: Int?,
-    public val repeatRatio: Double = 0.2,
-    public val repeatSlack: Double = 50.0,
-    public val repeatWindowMillis: Long = 10_000,
-    public val orderLeaseMillis: Long = 3_000,
-    public val graceMillis: Long = 8_000,
-    public val versionMillis: Long = 5_000,
-    public val maxCallers: Int = 2_000,
-    public val maxBodyBytes: Long = 96L * 1_024 * 1_024,
+    public val repeatRatio: Double,
+    public val repeatSlack: Double,
+    public val repeatWindowMillis: Long,
+    public val orderLeaseMillis: Long,
+    public val graceMillis: Long,
+    public val maxCallers: Int,
+    public val maxBodyBytes: Long,
 )
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -108,9 +109,8 @@
         val refusal = refusal(request)
         if (refusal != null) return refuse(refusal, request.decoderResult().cause()?.message ?: "not accepted")
         val length = HttpUtil.getContentLength(request, 0L)
-        if (length > context.limits().bodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
-        if (!context.reserveBody(length)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the body")
-        context.releaseBody(length)
+        if (length > context.limits().bodyBytes) return refuseLong()
+        if (!context.hasRoom(length)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_MEMORY)
         if (HttpUtil.is100ContinueExpected(request)) channel.writeAndFlush(CONTINUE.retainedDuplicate())
     }
 
@@ -121,24 +121,27 @@
             cause is TooLongHttpHeaderException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             cause is TooLongHttpLineException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             cause != null -> HttpResponseStatus.BAD_REQUEST
-            request.protocolVersion() != HttpVersion.HTTP_1_1 && encodings.isNotEmpty() -> HttpResponseStatus.BAD_REQUEST
-            encodings.size > 1 || encodings.any { !CHUNKED.contentEqualsIgnoreCase(it) } -> HttpResponseStatus.BAD_REQUEST
-            request.headers().getAll(HttpHeaderNames.HOST).size != 1 -> HttpResponseStatus.BAD_REQUEST
+            ambiguous(request, encodings) -> HttpResponseStatus.BAD_REQUEST
             else -> null
         }
     }
 
+    /** Whether two readers of the request could take its end, or its host, for different ones. */
+    private fun ambiguous(request: HttpRequest, encodings: List<String>): Boolean = when {
+        request.protocolVersion() != HttpVersion.HTTP_1_1 && encodings.isNotEmpty() -> true
+        encodings.size > 1 || encodings.any { !CHUNKED.contentEqualsIgnoreCase(it) } -> true
+        else -> request.headers().getAll(HttpHeaderNames.HOST).size != 1
+    }
+
     private fun append(content: HttpContent) {
         if (content.decoderResult().isFailure) return refuse(HttpResponseStatus.BAD_REQUEST, "unreadable body")
         val bytes = content.content().readableBytes()
         if (bytes > 0) {
             val buffer = body ?: Unpooled.compositeBuffer(MOST_PARTS).also { body = it }
             if (buffer.readableBytes() + bytes > context.limits().bodyBytes) {
-                return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
-            }
-            if (!context.reserveBody(bytes.toLong())) {
-                return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the body")
+                return refuseLong()
             }
+            if (!context.reserveBody(bytes.toLong())) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_MEMORY)
             buffer.addComponent(true, content.content().retain())
         }
         if (content is LastHttpContent) serve()
@@ -172,11 +175,16 @@
         if (draining && state == State.IDLE) channel.flush()
     }
 
+    private fun refuseLong() = refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long")
+
     private fun slow() = refuse(HttpResponseStatus.REQUEST_TIMEOUT, "request took too long")
 
-    /** Refuses what cannot be read on: answers, then reads and drops the rest for a while, so that the answer arrives. */
+    /**
+     * Refuses what cannot be read on: answers, then reads and drops the rest for a while, so that the answer arrives.
+     */
     private fun refuse(status: HttpResponseStatus, reason: String) {
-        Logger.info { "event=caller_refused status=${status.code()} reason=\"$reason\" peer=${channel.remoteAddress()}" }
+        val peer = channel.remoteAddress()
+        Logger.info { "event=caller_refused status=${status.code()} reason=\"$reason\" peer=$peer" }
         releaseBody()
         state = State.CLOSING
         since = context.now()
@@ -203,8 +211,9 @@
 
         /** Time for a refusal to arrive before the connection is closed on bytes that were not read. */
         const val LINGER_MILLIS = 500L
+        const val NO_MEMORY = "no memory for the body"
         val CHUNKED = HttpHeaderValues.CHUNKED
-        val CONTINUE = io.netty.handler.codec.http.DefaultFullHttpResponse(
+        val CONTINUE = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.CONTINUE,
             Unpooled.EMPTY_BUFFER,
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerContext.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerContext.kt
@@ -29,9 +29,12 @@
         connections.toList().forEach(action)
     }
 
+    /** Whether a body of [bytes] fits into the memory that is left. */
+    fun hasRoom(bytes: Long): Boolean = bodyBytes + bytes <= maxBodyBytes
+
     /** Reserves memory for [bytes] of a body; false when there is none. */
     fun reserveBody(bytes: Long): Boolean {
-        if (bodyBytes + bytes > maxBodyBytes) return false
+        if (!hasRoom(bytes)) return false
         bodyBytes += bytes
         return true
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -36,7 +36,8 @@
         server.health.heard(context.now())
         val said = context.dialect.answer(response)
         if (requestId != null && said.requestId != requestId) {
-            context.log.write { "event=foreign_answer request=$requestId server=${server.id} answers=${said.requestId}" }
+            val other = said.requestId
+            context.log.write { "event=foreign_answer request=$requestId server=${server.id} answers=$other" }
             return false
         }
         when {
@@ -87,7 +88,8 @@
     }
 
     private fun dropped(said: ServerAnswer) {
-        if (said.notRun || said.misdirected) exchange.notRun(server, said) else exchange.unknown(server, "unsigned ${said.status}")
+        if (said.notRun || said.misdirected) return exchange.notRun(server, said)
+        exchange.unknown(server, "unsigned ${said.status}")
     }
 
     private fun event() {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Delivery.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Delivery.kt
@@ -14,11 +14,11 @@
 /**
  * Passes a backend server's answer on to the caller.
  *
- * Events of a stream pass as soon as they are whole. Other answers are kept until they are whole, up to [KEPT_BYTES], so
+ * Events of a stream pass as soon as they are whole. Other answers are kept until they are whole, up to [KEPT_BYTES],
+ * so
  * that one that breaks off can be asked for again.
  */
 internal class Delivery(
-    private val exchange: Exchange,
     private val context: ExchangeContext,
     private val answer: CallerAnswer,
     private val route: Route,
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -36,7 +36,7 @@
     private val startedAt = request.arrivedAt
     private val endsAt = startedAt + min(route.timeoutMillis, facts.deadlineMillis ?: Long.MAX_VALUE)
     private val tried = HashSet<BackendServerId>()
-    private val delivery = Delivery(this, context, answer, route, facts)
+    private val delivery = Delivery(context, answer, route, facts)
     private var reservation: WorkLedger.Reservation? = null
     private var link: HttpLink? = null
     private var sends = 0
@@ -55,7 +55,7 @@
     fun begin() {
         context.open++
         request.body.retain()
-        context.budget(service).request(startedAt)
+        context.rules.budget(service).request(startedAt)
         place()
     }
 
@@ -74,13 +74,13 @@
     private fun place() {
         if (over) return
         val now = context.now()
-        val servers = context.fleet.usable(service, now)
+        val servers = context.servers.fleet.usable(service, now)
         val engine = spec?.engine
         val adapter = facts.adapter
         val choice = if (engine != null && adapter != null) {
-            context.engines.choose(ask(adapter, now), servers, engine, now)
+            context.rules.engines.choose(ask(adapter, now), servers, engine, now)
         } else {
-            context.plain.choose(servers, tried, now)
+            context.rules.plain.choose(servers, tried, now)
         }
         when (choice) {
             is Choice.Send -> send(choice.server, choice.estimateMillis)
@@ -91,7 +91,7 @@
 
     private fun ask(adapter: ServedAdapter, now: Long) = EngineAsk(
         adapter = adapter,
-        version = context.version(adapter, now),
+        version = context.rules.version(adapter, now),
         promptTokens = facts.promptTokens,
         outputTokens = facts.outputTokens,
         budgetMillis = patience(now),
@@ -111,10 +111,10 @@
         if (loadAsks >= MOST_LOAD_ASKS) return refuse("load_failed", LOAD_RETRY_MILLIS)
         loadAsks++
         val place = reserve(server)
-        val version = context.version(adapter, context.now()) ?: 0
+        val version = context.rules.version(adapter, context.now()) ?: 0
         val missing = missingAt === server
         val askedAt = context.now()
-        context.loads.ask(server, adapter, version, missing) { failure ->
+        context.servers.loads.ask(server, adapter, version, missing) { failure ->
             if (over || reservation !== place) return@ask
             if (failure == null) {
                 log("loaded", "server=${server.id} adapter=$adapter waited_ms=${context.now() - askedAt}")
@@ -135,16 +135,16 @@
 
     private fun reserve(server: Server): WorkLedger.Reservation {
         reservation?.release()
-        return context.ledger.reserve(server, facts.adapter, facts.promptTokens, facts.outputTokens)
+        return context.servers.ledger.reserve(server, facts.adapter, facts.promptTokens, facts.outputTokens)
             .also { reservation = it }
     }
 
     private fun dispatch(server: Server, estimate: Long) {
-        if (sends > 0 && !context.budget(service).take(context.now(), context.nodes())) return exhausted()
+        if (sends > 0 && !context.rules.budget(service).take(context.now(), context.nodes())) return exhausted()
         val limit = (spec?.maxConnections ?: Int.MAX_VALUE) / context.nodes()
         val once = route.kind == RouteKind.AT_MOST_ONCE
         val place = reservation
-        context.pool.acquire(server, limit.coerceAtLeast(FEWEST_CONNECTIONS), once) { got, failure ->
+        context.servers.pool.acquire(server, limit.coerceAtLeast(FEWEST_CONNECTIONS), once) { got, failure ->
             when {
                 over || reservation !== place -> got?.abandon()
                 got == null -> unreachable(server, failure.orEmpty())
@@ -173,7 +173,7 @@
         got.mayGiveUp = route.kind != RouteKind.AT_MOST_ONCE
         sends++
         val priority = if (spec?.engine == null) null else route.priority.coerceAtMost(LOWEST_PRIORITY)
-        val version = facts.adapter?.let { context.version(it, now) }
+        val version = facts.adapter?.let { context.rules.version(it, now) }
         val send = ServerSend(server.id, left, delivery.lastEvent, version, priority)
         log("sent", "server=${server.id} send=$sends entry_age_ms=${now - server.readAt} estimate_ms=$estimate")
         val headers = context.dialect.toServer(request.headers, send)
@@ -209,7 +209,7 @@
         server.health.failed()
         if (!route.repeatable || runs >= route.maxAttempts || delivery.begun) return false
         if (context.now() + route.targetMillis / 2 > endsAt) return false
-        if (!context.budget(service).available(context.now(), context.nodes())) return false
+        if (!context.rules.budget(service).available(context.now(), context.nodes())) return false
         link = null
         reservation?.release()
         tried.add(server.id)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
@@ -19,27 +19,33 @@
     val loop: EventLoop,
     val now: () -> Long,
     val dialect: Dialect,
-    val fleet: Fleet,
-    val pool: ServerPool,
-    val ledger: WorkLedger,
-    val engines: EngineChoice,
-    val plain: PlainChoice,
-    val loads: AdapterLoads,
+    val servers: Servers,
+    val rules: Rules,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
     val desired: () -> DesiredState?,
     val nodes: () -> Int,
-    val budget: (ServiceId) -> RepeatBudget,
-    val version: (ServedAdapter, Long) -> Long?,
     val stopping: () -> Boolean,
 ) {
+    /** The backend servers and the ways to them. */
+    class Servers(val fleet: Fleet, val pool: ServerPool, val ledger: WorkLedger, val loads: AdapterLoads)
+
+    /** What decides where a request goes, and whether it goes again. */
+    class Rules(
+        val engines: EngineChoice,
+        val plain: PlainChoice,
+        val budget: (ServiceId) -> RepeatBudget,
+        val version: (ServedAdapter, Long) -> Long?,
+    )
+
     /** Requests under way. */
     var open: Int = 0
 
     /** Asks for an adapter to be loaded at a server. */
     fun interface AdapterLoads {
         /**
-         * Asks for [adapter] in at least [version] at [server]; [missing] tells that the server said it does not hold it.
+         * Asks for [adapter] in at least [version] at [server]; [missing] tells that the server said it does not hold
+         * it.
          */
         fun ask(server: Server, adapter: ServedAdapter, version: Long, missing: Boolean, done: (String?) -> Unit)
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
@@ -124,6 +124,5 @@
         orders.close(reason)
     }
 
-    private fun spec(server: Server): ServiceSpec.EngineSpec? =
-        desired()?.services?.get(server.entry.service)?.engine
+    private fun spec(server: Server): ServiceSpec.EngineSpec? = desired()?.services?.get(server.entry.service)?.engine
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderSender.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderSender.kt
@@ -37,7 +37,8 @@
     private fun write(link: HttpLink, call: OrderCall, done: (Int?, String) -> Unit) {
         val reply = Reply(done)
         link.send(call.method, call.uri, call.headers, Unpooled.wrappedBuffer(call.body), reply)
-        val timer = loop.schedule({ if (!reply.over) link.fail("no answer in time") }, ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+        val giveUp = { if (!reply.over) link.fail("no answer in time") }
+        val timer = loop.schedule(giveUp, ANSWER_MILLIS, TimeUnit.MILLISECONDS)
         reply.onOver = { timer.cancel(false) }
     }
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/PeerLoads.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/PeerLoads.kt
@@ -13,7 +13,6 @@
     private val loop: EventLoop,
     private val orders: OrderDesk,
     private val send: (VmId, FleetMessage) -> Boolean,
-    private val now: () -> Long,
 ) {
     private class Open(val server: Server, val adapter: ServedAdapter, val done: (String?) -> Unit)
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/ServerOrders.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/ServerOrders.kt
@@ -125,7 +125,8 @@
     }
 
     /**
-     * Repeats the order of a load: the server answers that it is done as soon as it is. A load that was accepted keeps its
+     * Repeats the order of a load: the server answers that it is done as soon as it is. A load that was accepted keeps
+     * its
      * place however long it takes, as the server may be about to fill it.
      */
     private fun confirm(adapter: ServedAdapter, version: Long, tries: Int) {
@@ -192,7 +193,11 @@
             val name = if (load) "load" else "unload"
             desk.metrics.ordered(name, result.name.lowercase())
             desk.log.write { "event=order order=$name server=${server.id} what=$what fence=$fence result=$result" }
-            if (result == OrderResult.FENCED) desk.refused(server) else if (!closed) done(result)
+            if (result == OrderResult.FENCED) {
+                desk.refused(server)
+            } else if (!closed) {
+                done(result)
+            }
         }
     }
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/LinkListener.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/LinkListener.kt
@@ -3,10 +3,13 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponse
 
-/** Takes the answer to the request on an [HttpLink]. Exactly one of [ended] and [broken] comes, and nothing after it. */
+/**
+ * Takes the answer to the request on an [HttpLink]. Exactly one of [ended] and [broken] comes, and nothing after it.
+ */
 public interface LinkListener {
     /**
-     * The head of an answer arrived. Returns false for an answer that belongs to another request: it is skipped, and the
+     * The head of an answer arrived. Returns false for an answer that belongs to another request: it is skipped, and
+     * the
      * next one is awaited.
      */
     public fun head(response: HttpResponse): Boolean
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerPool.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerPool.kt
@@ -31,12 +31,7 @@
      *
      * @param fresh whether a kept connection must be used well before the server may close it.
      */
-    public fun acquire(
-        server: Server,
-        limit: Int,
-        fresh: Boolean,
-        done: (link: HttpLink?, failure: String?) -> Unit,
-    ) {
+    public fun acquire(server: Server, limit: Int, fresh: Boolean, done: (link: HttpLink?, failure: String?) -> Unit) {
         val lane = lane(server)
         val kept = keptLink(lane, if (fresh) FRESH_SHARE else KEPT_SHARE)
         if (kept != null) {
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/AdapterVersions.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/AdapterVersions.kt
@@ -25,7 +25,9 @@
     }
 
     private companion object {
-        /** Half of the time that the deployments give: older versions answer until the load of the new one is ordered. */
+        /**
+         * Half of the time that the deployments give: older versions answer until the load of the new one is ordered.
+         */
         const val OLD_MILLIS = 2_000L
     }
 }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/EnginePace.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/EnginePace.kt
@@ -43,6 +43,7 @@
 
         /** One step and the way there and back. */
         const val BASE_MILLIS = 25.0
+
         /** Steps for one event, and tokens of prompts that a step reads, by the deployments' sheets. */
         const val PIECES_OF_EVENT = 3L
         const val PIECE_TOKENS = 1_024L
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
@@ -12,7 +12,9 @@
     private val coming = LinkedHashMap<ServedAdapter, Long>()
     private val leaving = HashSet<ServedAdapter>()
 
-    private class Resident(var version: Long, var usedAt: Long, var doubtful: Boolean = false)
+    private class Resident(var version: Long, var usedAt: Long, var doubtful: Boolean = false) {
+        fun serves(oldest: Long) = version >= oldest && !doubtful
+    }
 
     /** What to do next for an adapter that is asked for. */
     public sealed class Step {
@@ -40,7 +42,7 @@
     /** The next step for [adapter] in at least [version]; adapters for which [inUse] holds are not dropped. */
     public fun next(adapter: ServedAdapter, version: Long, now: Long, inUse: (ServedAdapter) -> Boolean): Step {
         val there = present[adapter]
-        if (there != null && there.version >= version && !there.doubtful && adapter !in leaving) {
+        if (there != null && there.serves(version) && adapter !in leaving) {
             there.usedAt = now
             return Step.Present
         }
@@ -52,11 +54,13 @@
     }
 
     /**
-     * The adapter that was not used for the longest time. An engine takes no other order while it waits for the runs of one
+     * The adapter that was not used for the longest time. An engine takes no other order while it waits for the runs of
+     * one
      * that it should drop, so those used so lately that the reports of other nodes may not show it are left alone.
      */
     private fun victim(now: Long, inUse: (ServedAdapter) -> Boolean): ServedAdapter? = present
-        .filter { (adapter, at) -> adapter !in leaving && now - at.usedAt >= RECENT_MILLIS && !inUse(adapter) }
+        .filterKeys { it !in leaving && !inUse(it) }
+        .filterValues { now - it.usedAt >= RECENT_MILLIS }
         .minByOrNull { it.value.usedAt }
         ?.key
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/OrderClaims.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/OrderClaims.kt
@@ -8,8 +8,10 @@
 /**
  * Who gives orders to which backend server.
  *
- * A node claims a server only after no claim for it was heard for [leaseMillis] and a margin, and only when it ranks first
- * among the nodes that it hears. Of two claims the one with the lower fence gives way at once. Orders stay safe whatever
+ * A node claims a server only after no claim for it was heard for [leaseMillis] and a margin, and only when it ranks
+ * first
+ * among the nodes that it hears. Of two claims the one with the lower fence gives way at once. Orders stay safe
+ * whatever
  * nodes believe: servers refuse a fence lower than one that they have seen, and no two nodes make the same fence.
  *
  * @param nodeNumber number of this node, below 2^24 and unlike that of any other node.
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineChoice.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineChoice.kt
@@ -9,16 +9,14 @@
 /**
  * Chooses the engine with the earliest expected first event.
  *
- * The load that it answers: many rare adapters among a few busy ones, on engines of unequal speed. An adapter's requests
+ * The load that it answers: many rare adapters among a few busy ones, on engines of unequal speed. An adapter's
+ * requests
  * stay together until the queue of its engine costs more than a load elsewhere; rare adapters return to the engine that
  * held them before, where a load is short.
  *
  * @param loadable whether adapters can be loaded at a server now: its order holder is known and reachable.
  */
-public class EngineChoice(
-    private val zone: ZoneId,
-    private val loadable: (Server) -> Boolean,
-) {
+public class EngineChoice(private val zone: ZoneId, private val loadable: (Server) -> Boolean) {
     /** An engine, the expected time to a first event there, and what else speaks against it, in the same unit. */
     private class Option(val server: Server, val millis: Double, val penalty: Double, val resident: Boolean)
 
@@ -40,7 +38,8 @@
 
     private fun option(ask: EngineAsk, server: Server, spec: EngineSpec, now: Long): Option? {
         val use = server.use(now)
-        val queue = server.pace.firstEventMillis(use.unreadTokens, ask.promptTokens) + fullMillis(ask, server, spec, now)
+        val queue =
+            server.pace.firstEventMillis(use.unreadTokens, ask.promptTokens) + fullMillis(ask, server, spec, now)
         val distance = if (server.entry.zone == zone) 0.0 else OTHER_ZONE_MILLIS
         val penalty = distance + pauseCost(ask, server, use)
         val version = server.adapters[ask.adapter]
@@ -77,7 +76,9 @@
         else -> FIRST_LOAD_MILLIS
     }
 
-    /** Each first load drops an adapter that may be asked for again; equals are told apart the same way at all nodes. */
+    /**
+     * Each first load drops an adapter that may be asked for again; equals are told apart the same way at all nodes.
+     */
     private fun loadCost(ask: EngineAsk, server: Server, spec: EngineSpec): Double {
         if (ask.adapter in server.incoming || server.heldBefore(ask.adapter)) return 0.0
         val taken = (server.adapters.size + server.incoming.size).toDouble() / spec.adapterPlaces.coerceAtLeast(1)
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/retry/RepeatBudget.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/retry/RepeatBudget.kt
@@ -3,7 +3,8 @@
 /**
  * Share of this node in the budget of one service for sending requests again.
  *
- * The fleet may send [ratio] of the requests of a window again, and [slack] more. Each node takes [ratio] of the requests
+ * The fleet may send [ratio] of the requests of a window again, and [slack] more. Each node takes [ratio] of the
+ * requests
  * that it took itself and its part of the slack, so that the sum keeps the bound without talk for each request.
  */
 public class RepeatBudget(private val ratio: Double, private val slack: Double, private val windowMillis: Long) {
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/state/DesiredState.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/state/DesiredState.kt
@@ -9,7 +9,9 @@
     public val services: Map<ServiceId, ServiceSpec>,
     public val limits: CallerLimits,
 ) {
-    private val byHost = routes.groupBy { it.host }.mapValues { (_, all) -> all.sortedByDescending { it.prefix.length } }
+    private val byHost = routes.groupBy {
+        it.host
+    }.mapValues { (_, all) -> all.sortedByDescending { it.prefix.length } }
 
     /** The route of [host] with the longest prefix that begins [path], or null. */
     public fun route(host: String, path: String): Route? = byHost[host]?.firstOrNull { path.startsWith(it.prefix) }
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/PeerNetwork.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/PeerNetwork.kt
@@ -42,7 +42,8 @@
     public fun follow(list: VmList)
 
     /**
-     * Opens a link to [vm] once, when there is none, whatever the order of the names: a node that the other one does not
+     * Opens a link to [vm] once, when there is none, whatever the order of the names: a node that the other one does
+     * not
      * know yet makes itself known. The link is not opened again when it ends.
      */
     public fun introduce(vm: Vm)
