--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineChoice.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineChoice.kt
@@ -113,10 +113,10 @@
         const val PREFERENCE_MILLIS = 120.0
 
         /** Below the longest pause by this share, for what the estimate does not know. */
-        const val PAUSE_SHARE = 0.8
+        const val PAUSE_SHARE = 0.85
 
         /** About a load elsewhere: running streams that become late cost more than one that is loaded first. */
-        const val PAUSE_MILLIS = 350.0
+        const val PAUSE_MILLIS = 200.0
 
         /** Mean number of events of a stream by the deployments' sheets. */
         const val EVENTS_OF_STREAM = 50
