--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
@@ -41,7 +41,7 @@
 
     private val peers = HashMap<VmId, PeerUse>()
     private var toldByHolderAt = Long.MIN_VALUE / 2
-    private val held = LinkedHashSet<ServedAdapter>()
+    private val held = LinkedHashSet(entry.adapters.keys)
 
     /** Takes a newer entry of the same life. */
     public fun update(newer: ServerEntry, at: Long, now: Long) {
--- /dev/null
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/Examples.kt
@@ -0,0 +1,70 @@
+package io.apricotslip.serving
+
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.ModelId
+import io.apricotslip.api.id.ServiceId
+import io.apricotslip.api.id.ZoneId
+import io.apricotslip.serving.fleet.ServedAdapter
+import io.apricotslip.serving.fleet.Server
+import io.apricotslip.serving.fleet.ServerEntry
+import io.apricotslip.serving.placement.EngineAsk
+import io.apricotslip.serving.state.Route
+import io.apricotslip.serving.state.RouteKind
+import io.apricotslip.serving.state.ServiceSpec
+
+/** Values that the tests of this module share. */
+internal object Examples {
+    val service = ServiceId("draft")
+    val zone = ZoneId("a")
+    val engine = ServiceSpec.EngineSpec(
+        slots = 64,
+        memoryTokens = 140_000,
+        adapterPlaces = 20,
+        weightsMegabytes = 76_000.0,
+        modelLoadsPerSecond = 2.0,
+        models = listOf(ServiceSpec.ModelSpec(ModelId("m"), 72_000.0, 66.0, 600)),
+    )
+
+    fun adapter(name: String) = ServedAdapter.parse("m/$name")
+
+    fun entry(
+        id: String,
+        adapters: List<String> = emptyList(),
+        leaving: Boolean = false,
+        born: Long = 1,
+        zone: String = "a",
+    ) = ServerEntry(
+        id = BackendServerId(id),
+        service = service,
+        host = "127.0.0.1",
+        port = 1,
+        zone = ZoneId(zone),
+        bornMillis = born,
+        slots = 64,
+        leaving = leaving,
+        models = setOf(ModelId("m")),
+        adapters = adapters.associate { adapter(it) to 1L },
+    )
+
+    fun server(id: String, vararg adapters: String) = Server(entry(id, adapters.toList()), revision = 1, now = 0)
+
+    fun ask(adapter: String, budget: Long = 900, prompt: Int = 1_400, gap: Long = 250) = EngineAsk(
+        adapter = adapter(adapter),
+        version = null,
+        promptTokens = prompt,
+        outputTokens = 200,
+        budgetMillis = budget,
+        gapMillis = gap,
+    )
+
+    fun route(prefix: String, kind: RouteKind = RouteKind.REPEATABLE, resumable: Boolean = false) = Route(
+        name = prefix,
+        host = "h",
+        prefix = prefix,
+        kind = kind,
+        timeoutMillis = 1_000,
+        targetMillis = 100,
+        targets = listOf(Route.WeightedService(service, 1)),
+        resumable = resumable,
+    )
+}
--- /dev/null
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/fleet/AdapterVersionsTest.kt
@@ -0,0 +1,31 @@
+package io.apricotslip.serving.fleet
+
+import io.apricotslip.serving.Examples.adapter
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class AdapterVersionsTest {
+    private val versions = AdapterVersions()
+    private val a = adapter("a")
+
+    @Test
+    fun `a new version is needed some time after it was declared`() {
+        expectThat(versions.declared(a, 3, now = 0)).isTrue()
+        expectThat(versions.needed(a, 1_999)).isNull()
+        expectThat(versions.needed(a, 2_000)).isEqualTo(3)
+        versions.declared(a, 4, now = 5_000)
+        expectThat(versions.needed(a, 5_500)).isEqualTo(3)
+        expectThat(versions.newest(a)).isEqualTo(4)
+    }
+
+    @Test
+    fun `an older version is not taken`() {
+        versions.declared(a, 3, now = 0)
+        expectThat(versions.declared(a, 2, now = 10)).isFalse()
+        expectThat(versions.newest(a)).isEqualTo(3)
+    }
+}
--- /dev/null
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/order/OrderClaimsTest.kt
@@ -0,0 +1,101 @@
+package io.apricotslip.serving.order
+
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.id.FenceNumber
+import io.apricotslip.api.id.VmId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class OrderClaimsTest {
+    private val servers = List(12) { BackendServerId("s$it") }
+    private val vms = listOf(VmId("10.0.0.1"), VmId("10.0.0.2"), VmId("10.0.0.3"))
+    private val one = servers.take(1)
+
+    private fun node(i: Int) = OrderClaims(vms[i], nodeNumber = i + 1L, leaseMillis = 3_000, startedAt = 0)
+
+    private fun OrderClaims.claimAt(now: Long, live: List<VmId> = listOf(vms[0]), fresh: Boolean = false) =
+        claim(one, live, fresh, wallSeconds = 100, now)
+
+    @Test
+    fun `a node waits for the lease after its start`() {
+        val claims = node(0)
+        claims.claimAt(now = 3_000)
+        expectThat(claims.mine(one[0])).isNull()
+        claims.claimAt(now = 3_500)
+        expectThat(claims.mine(one[0])).isNotNull()
+    }
+
+    @Test
+    fun `nodes that all started together claim after a few reports`() {
+        val claims = node(0)
+        claims.claimAt(now = 900, fresh = true)
+        expectThat(claims.mine(one[0])).isNull()
+        claims.claimAt(now = 1_000, fresh = true)
+        expectThat(claims.mine(one[0])).isNotNull()
+    }
+
+    @Test
+    fun `with the same view each server has exactly one holder`() {
+        val nodes = List(3) { node(it) }
+        nodes.forEach { it.claim(servers, vms, fresh = false, wallSeconds = 100, now = 4_000) }
+        expectThat(nodes.flatMap { it.held() }).hasSize(servers.size)
+        expectThat(nodes.flatMap { it.held() }.toSet()).hasSize(servers.size)
+    }
+
+    @Test
+    fun `a claim that is heard holds for the lease, and no longer`() {
+        val claims = node(0)
+        claims.heard(one[0], vms[1], FenceNumber(5), now = 4_000)
+        claims.claimAt(now = 7_500)
+        expectThat(claims.held()).isEmpty()
+        claims.claimAt(now = 7_501)
+        expectThat(claims.held()).hasSize(1)
+    }
+
+    @Test
+    fun `of two claims the lower fence gives way`() {
+        val claims = node(0)
+        claims.claimAt(now = 4_000)
+        val mine = claims.mine(one[0])?.value ?: 0
+        expectThat(claims.heard(one[0], vms[1], FenceNumber(mine - 1), now = 4_100)).isFalse()
+        expectThat(claims.heard(one[0], vms[1], FenceNumber(mine + 1), now = 4_100)).isTrue()
+        expectThat(claims.mine(one[0])).isNull()
+        expectThat(claims.holder(one[0])).isEqualTo(vms[1])
+    }
+
+    @Test
+    fun `a fence grows with each holder, whatever the time of day says`() {
+        val claims = node(0)
+        claims.heard(one[0], vms[1], FenceNumber(900L shl 24), now = 4_000)
+        claims.claimAt(now = 8_000)
+        expectThat(claims.mine(one[0])?.value ?: 0).isGreaterThan(900L shl 24)
+    }
+
+    @Test
+    fun `two nodes never make the same fence`() {
+        val a = node(0).apply { claimAt(now = 4_000) }
+        val b = node(1).apply { claimAt(now = 4_000, live = listOf(vms[1])) }
+        expectThat(a.mine(one[0])).isNotEqualTo(b.mine(one[0]))
+    }
+
+    @Test
+    fun `a holder whose fence was refused stays away and comes back higher`() {
+        val claims = node(0)
+        claims.claimAt(now = 4_000)
+        val before = claims.mine(one[0])?.value ?: 0
+        claims.refused(one[0], now = 5_000)
+        claims.claimAt(now = 9_000)
+        expectThat(claims.mine(one[0])).isNull()
+        claims.claimAt(now = 10_000)
+        expectThat(claims.mine(one[0])?.value ?: 0).isGreaterThan(before)
+    }
+}
