--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Dialect.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Dialect.kt
@@ -6,8 +6,8 @@
 import io.apricotslip.gateway.exchange.ServerSend
 import io.apricotslip.gateway.order.EngineReport
 import io.apricotslip.gateway.order.Order
-import io.apricotslip.gateway.order.OrderCall
 import io.apricotslip.gateway.order.OrderResult
+import io.apricotslip.gateway.server.TextCall
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 
@@ -29,10 +29,10 @@
     public fun own(id: String?, retryAfterMillis: Long?): HttpHeaders
 
     /** The HTTP call for [order]. */
-    public fun order(order: Order): OrderCall
+    public fun order(order: Order): TextCall
 
     /** The HTTP call that asks [server] what it holds. */
-    public fun reportCall(server: BackendServerId): OrderCall
+    public fun reportCall(server: BackendServerId): TextCall
 
     /** Reads the answer to that call; null when it is none. */
     public fun report(status: Int, body: String): EngineReport?
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -19,6 +19,7 @@
 import io.apricotslip.gateway.order.PeerLoads
 import io.apricotslip.gateway.order.ServerOrders
 import io.apricotslip.gateway.peer.PeerDesk
+import io.apricotslip.gateway.peer.PeerReports
 import io.apricotslip.gateway.server.Connector
 import io.apricotslip.gateway.server.ServerPool
 import io.apricotslip.serving.fleet.AdapterVersions
@@ -26,7 +27,6 @@
 import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.fleet.ServerEntry
-import io.apricotslip.serving.fleet.UseCounts
 import io.apricotslip.serving.member.Members
 import io.apricotslip.serving.order.OrderClaims
 import io.apricotslip.serving.placement.EngineChoice
@@ -67,7 +67,7 @@
         options.linkPort,
     )
     private val peers = PeerDesk(network, members, loop, options.zone, options.linkPort, ::now, ::receive)
-    private val peerAdapters = HashMap<VmId, Map<BackendServerId, Set<ServedAdapter>>>()
+    private val reports = PeerReports(fleet, members, ledger, ::now)
     private val orders = OrderDesk(fleet, claims, { state }, log, ::desk)
     private val loads = PeerLoads(options.self, loop, orders, peers::send)
     private val exchanges = Exchanges(exchangeContext())
@@ -94,7 +94,14 @@
         options.metricsPort?.let { metricsPage.start(options.readyHost, it) }
         callers.start(options.callerHost, options.callerPort)
         loop.execute(peers::start)
-        loop.scheduleWithFixedDelay(guarded("report", ::report), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS)
+        loop.scheduleWithFixedDelay(
+            guarded("report") {
+                peers.broadcast(reports.own(orders))
+            },
+            REPORT_MILLIS,
+            REPORT_MILLIS,
+            TimeUnit.MILLISECONDS,
+        )
         loop.scheduleWithFixedDelay(guarded("tick", ::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
         watchMetrics()
     }
@@ -193,7 +200,7 @@
         log = log,
         metrics = metrics,
         version = versions::newest,
-        inUse = ::inUse,
+        inUse = reports::inUse,
         refused = refused,
         changed = {},
     )
@@ -207,55 +214,18 @@
         return holder == options.self || holder in network.connected()
     }
 
-    private fun inUse(server: Server, adapter: ServedAdapter): Boolean =
-        adapter in ledger.adapters(server.id) || peerAdapters.values.any { adapter in it[server.id].orEmpty() }
-
     private fun receive(peer: VmId, message: FleetMessage) {
         when (message) {
-            is FleetMessage.Report -> heard(peer, message)
+            is FleetMessage.Report -> reports.heard(peer, message, orders)
             is FleetMessage.LoadAsk -> loads.asked(peer, message)
             is FleetMessage.LoadAnswer -> loads.answered(message)
         }
     }
 
-    private fun heard(peer: VmId, report: FleetMessage.Report) {
-        val now = now()
-        members.told(report.peers, now)
-        members.up(peer, report.upMillis, now)
-        val uses = report.uses.associateBy { it.server }
-        for (server in fleet.all) {
-            val use = uses[server.id]
-            val counts = use?.let { UseCounts(it.running, it.unread, it.memory) } ?: UseCounts()
-            server.peerUses(peer, counts, now)
-        }
-        val adapters = report.uses.associate { use ->
-            use.server to use.adapters.mapTo(HashSet(), ServedAdapter::parse)
-        }
-        peerAdapters[peer] = adapters
-        for ((server, used) in adapters) {
-            val places = orders.held(server)?.places ?: continue
-            used.forEach { places.used(it, now) }
-        }
-        report.claims.forEach { orders.heard(peer, it) }
-    }
-
-    private fun report() {
-        val uses = fleet.all.filter { it.own != UseCounts() }.map {
-            FleetMessage.ServerUse(
-                server = it.id,
-                running = it.own.running,
-                unread = it.own.unreadTokens,
-                memory = it.own.memoryTokens,
-                adapters = ledger.adapters(it.id).map(ServedAdapter::toString),
-            )
-        }
-        peers.broadcast(FleetMessage.Report(now(), members.live(now()), uses, orders.report()))
-    }
-
     private fun tick() {
         val now = now()
         val live = members.live(now)
-        peerAdapters.keys.retainAll(live.toSet())
+        reports.tick(live, orders)
         fleet.settle(now).forEach {
             log.write { "event=server_lapsed server=$it" }
             pool.forget(it)
@@ -267,10 +237,6 @@
         readiness.check()
         pool.trim()
         exchanges.dropSilent(fleet.all, pool, now)
-        for (server in fleet.all) {
-            val places = orders.held(server.id)?.places ?: continue
-            ledger.adapters(server.id).forEach { places.used(it, now) }
-        }
     }
 
     private fun awaitDrained(stopped: CompletableFuture<Unit>) {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -6,10 +6,8 @@
 import io.apricotslip.gateway.caller.CallerRequest
 import io.apricotslip.gateway.caller.CallerWatcher
 import io.apricotslip.gateway.server.HttpLink
-import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.placement.Choice
-import io.apricotslip.serving.placement.EngineAsk
 import io.apricotslip.serving.state.Route
 import io.apricotslip.serving.state.RouteKind
 import io.apricotslip.serving.state.ServiceSpec
@@ -31,12 +29,13 @@
     private val facts: RequestFacts,
     private val route: Route,
     private val service: ServiceId,
-    private val spec: ServiceSpec?,
+    spec: ServiceSpec?,
 ) : CallerWatcher {
     private val startedAt = request.arrivedAt
     private val endsAt = startedAt + min(route.timeoutMillis, facts.deadlineMillis ?: Long.MAX_VALUE)
     private val tried = HashSet<BackendServerId>()
     private val delivery = Delivery(context, answer, route, facts)
+    private val placement = Placement(context, route, facts, service, spec)
     private var reservation: WorkLedger.Reservation? = null
     private var link: HttpLink? = null
     private var sends = 0
@@ -48,8 +47,7 @@
     private var longestGap = 0L
     private val timer = context.loop.schedule(::timeUp, endsAt - startedAt, TimeUnit.MILLISECONDS)
 
-    val stream: Boolean
-        get() = route.kind == RouteKind.STREAM
+    val stream: Boolean = route.kind == RouteKind.STREAM
 
     /** Starts the exchange. */
     fun begin() {
@@ -74,14 +72,7 @@
     private fun place() {
         if (over) return
         val now = context.now()
-        val servers = context.servers.fleet.usable(service, now)
-        val engine = spec?.engine
-        val adapter = facts.adapter
-        val choice = if (engine != null && adapter != null) {
-            context.rules.engines.choose(ask(adapter, now), servers, engine, now)
-        } else {
-            context.rules.plain.choose(servers, tried, now)
-        }
+        val choice = placement.choose(tried, startedAt, endsAt, delivery.begun, now)
         when (choice) {
             is Choice.Send -> send(choice.server, choice.estimateMillis)
             is Choice.Load -> load(choice.server, choice.estimateMillis)
@@ -89,23 +80,6 @@
         }
     }
 
-    private fun ask(adapter: ServedAdapter, now: Long) = EngineAsk(
-        adapter = adapter,
-        version = context.rules.version(adapter, now),
-        promptTokens = facts.promptTokens,
-        outputTokens = facts.outputTokens,
-        budgetMillis = patience(now),
-        gapMillis = route.gapMillis,
-        excluded = tried,
-    )
-
-    /** Time in which a first event is still worth waiting for; a stream that began is always worth its end. */
-    private fun patience(now: Long): Long {
-        val left = endsAt - now
-        if (delivery.begun) return left
-        return min(left, (route.targetMillis * PATIENCE).toLong() - (now - startedAt))
-    }
-
     private fun load(server: Server, estimate: Long) {
         val adapter = facts.adapter ?: return
         if (loadAsks >= MOST_LOAD_ASKS) return refuse("load_failed", LOAD_RETRY_MILLIS)
@@ -141,10 +115,11 @@
 
     private fun dispatch(server: Server, estimate: Long) {
         if (sends > 0 && !context.rules.budget(service).take(context.now(), context.nodes())) return exhausted()
-        val limit = (spec?.maxConnections ?: Int.MAX_VALUE) / context.nodes()
-        val once = route.kind == RouteKind.AT_MOST_ONCE
         val place = reservation
-        context.servers.pool.acquire(server, limit.coerceAtLeast(FEWEST_CONNECTIONS), once) { got, failure ->
+        context.servers.pool.acquire(server, placement.connections(), route.kind == RouteKind.AT_MOST_ONCE) {
+                got,
+                failure,
+            ->
             when {
                 over || reservation !== place -> got?.abandon()
                 got == null -> unreachable(server, failure.orEmpty())
@@ -172,15 +147,14 @@
         link = got
         got.mayGiveUp = route.kind != RouteKind.AT_MOST_ONCE
         sends++
-        val priority = if (spec?.engine == null) null else route.priority.coerceAtMost(LOWEST_PRIORITY)
         val version = facts.adapter?.let { context.rules.version(it, now) }
-        val send = ServerSend(server.id, left, delivery.lastEvent, version, priority)
+        val send = ServerSend(server.id, left, delivery.lastEvent, version, placement.priority())
         log("sent", "server=${server.id} send=$sends entry_age_ms=${now - server.readAt} estimate_ms=$estimate")
         val headers = context.dialect.toServer(request.headers, send)
         val tokens = server.use(now).unreadTokens
         val attempt = Attempt(this, context, delivery, server, got, facts.id, tokens, now)
         got.send(request.method, request.uri, headers, request.body.retainedDuplicate(), attempt)
-        if (!answer.writable) got.read(false)
+        got.read(answer.writable)
     }
 
     /** The server said that it did not run the request. */
@@ -316,8 +290,6 @@
     }
 
     private companion object {
-        /** First events later than this many objectives are not worth the queue that they make others wait in. */
-        const val PATIENCE = 1.5
         const val MOST_LOAD_ASKS = 2
         const val MOST_TRIED = 3
         const val MOST_SENDS = 4
@@ -327,7 +299,5 @@
 
         /** Time for a server's own answer at its deadline to arrive before this node gives up. */
         const val ANSWER_MILLIS = 30L
-        const val FEWEST_CONNECTIONS = 4
-        const val LOWEST_PRIORITY = 9
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
@@ -44,6 +44,12 @@
         }
     }
 
+    /** Takes note that requests use [adapters] at [server]. */
+    fun used(server: BackendServerId, adapters: Collection<ServedAdapter>, now: Long) {
+        val places = held[server]?.places ?: return
+        adapters.forEach { places.used(it, now) }
+    }
+
     /** Takes what a peer claims. */
     fun heard(peer: VmId, claim: FleetMessage.ServerClaim) {
         val now = shared.now()
