--- a/apricotslip-wire/src/test/kotlin/io/apricotslip/wire/Messages.kt
+++ b/apricotslip-wire/src/test/kotlin/io/apricotslip/wire/Messages.kt
@@ -7,6 +7,7 @@
 import io.apricotslip.api.id.AdapterVersion
 import io.apricotslip.api.id.BackendServerId
 import io.apricotslip.api.id.CustomerId
+import io.apricotslip.api.id.FenceNumber
 import io.apricotslip.api.id.ListRevision
 import io.apricotslip.api.id.ManifestRevision
 import io.apricotslip.api.id.RequestId
@@ -20,18 +21,20 @@
 import io.apricotslip.api.outcome.Step
 import io.apricotslip.api.peer.AdapterUse
 import io.apricotslip.api.peer.EngineStatus
+import io.apricotslip.api.peer.FleetMessage
 import io.apricotslip.api.peer.SafetyMessage
 import io.apricotslip.api.work.WorkClass
 import kotlin.random.Random
 
 /** Makes messages of every kind from a seed; [typical] ones have sizes as in service. */
 internal class Messages(private val random: Random, private val typical: Boolean = false) {
-    fun all(): List<Message> = safety().map { Message.Safety(it) } + work() + listOf(
-        Message.Engines(several { status() }),
-        Message.TokenLoan(random.nextDouble()),
-        Message.TokenAsk(random.nextDouble(), random.nextInt(4), number()),
-        Message.Stopping,
-    )
+    fun all(): List<Message> =
+        safety().map { Message.Safety(it) } + fleet().map { Message.Fleet(it) } + work() + listOf(
+            Message.Engines(several { status() }),
+            Message.TokenLoan(random.nextDouble()),
+            Message.TokenAsk(random.nextDouble(), random.nextInt(4), number()),
+            Message.Stopping,
+        )
 
     private fun safety(): List<SafetyMessage> = listOf(
         SafetyMessage.Heartbeat(number(), ListRevision(number()), ManifestRevision(number())),
@@ -44,6 +47,22 @@
         SafetyMessage.EvictDone(server(), adapter(), number()),
     )
 
+    private fun fleet(): List<FleetMessage> = listOf(
+        FleetMessage.Report(number(), several { VmId(text(9)) }, several { use() }, several { claim() }),
+        FleetMessage.LoadAsk(server(), text(16), number(), random.nextBoolean(), number()),
+        FleetMessage.LoadAnswer(number(), random.nextBoolean(), number(), optional(20)),
+    )
+
+    private fun use() = FleetMessage.ServerUse(server(), count(), number(), number(), several { text(16) })
+
+    private fun claim() = FleetMessage.ServerClaim(
+        server(),
+        number(),
+        FenceNumber(number()),
+        several { text(16) to number() }.toMap(),
+        several { text(16) },
+    )
+
     private fun work(): List<Message> = listOf(
         Message.GenerateStart(
             request(), server(), adapter(), ManifestRevision(number()), WorkClass.entries.random(random),
--- a/apricotslip-wire/src/test/kotlin/io/apricotslip/wire/frame/FrameSizesTest.kt
+++ b/apricotslip-wire/src/test/kotlin/io/apricotslip/wire/frame/FrameSizesTest.kt
@@ -14,8 +14,11 @@
 
     private fun size(frame: Frame) = Int.SIZE_BYTES + FrameCodec.encode(frame).size
 
-    private fun name(message: Message): String =
-        if (message is Message.Safety) message.body::class.java.simpleName else message::class.java.simpleName
+    private fun name(message: Message): String = when (message) {
+        is Message.Safety -> message.body::class.java.simpleName
+        is Message.Fleet -> message.body::class.java.simpleName
+        else -> message::class.java.simpleName
+    }
 
     @Test
     fun `the table of sizes is printed`() {
