--- a/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/FleetMessage.kt
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/FleetMessage.kt
@@ -30,6 +30,8 @@
      * Asks the holder of the orders for [server] to load [adapter] in at least [version].
      *
      * @property missing whether the server said that it does not hold the adapter.
+     * @property dueMillis time until the adapter must be in place for an answer within the objective; negative when late.
+     * @property untilMillis time after which the request does not wait any more.
      */
     @Serializable
     @SerialName("la")
@@ -39,6 +41,8 @@
         @SerialName("v") public val version: Long,
         @SerialName("m") public val missing: Boolean,
         @SerialName("n") public val number: Long,
+        @SerialName("d") public val dueMillis: Long,
+        @SerialName("u") public val untilMillis: Long,
     ) : FleetMessage()
 
     /** Answers the [LoadAsk] with [number]: whether the adapter is in place, and in which version. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -10,7 +10,6 @@
 import io.apricotslip.gateway.caller.CallerServer
 import io.apricotslip.gateway.exchange.ExchangeContext
 import io.apricotslip.gateway.exchange.Exchanges
-import io.apricotslip.gateway.exchange.WorkLedger
 import io.apricotslip.gateway.observe.DecisionLog
 import io.apricotslip.gateway.observe.GatewayMetrics
 import io.apricotslip.gateway.observe.PlainPage
@@ -28,6 +27,7 @@
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.fleet.ServerEntry
 import io.apricotslip.serving.member.Members
+import io.apricotslip.serving.order.LoadPace
 import io.apricotslip.serving.order.OrderClaims
 import io.apricotslip.serving.placement.EngineChoice
 import io.apricotslip.serving.placement.PlainChoice
@@ -58,7 +58,7 @@
     private val members = Members(options.self, options.seeds)
     private val claims = OrderClaims(options.self, options.nodeNumber, options.orderLeaseMillis, now())
     private val pool = ServerPool(Connector(loop), ::now)
-    private val ledger = WorkLedger()
+    private val loadPace = LoadPace()
     private val budgets = HashMap<ServiceId, RepeatBudget>()
     private val network = KtorPeerNetwork(
         options.self,
@@ -67,9 +67,9 @@
         options.linkPort,
     )
     private val peers = PeerDesk(network, members, loop, options.zone, options.linkPort, ::now, ::receive)
-    private val reports = PeerReports(fleet, members, ledger, ::now)
+    private val reports = PeerReports(fleet, members, ::now)
     private val orders = OrderDesk(fleet, claims, { state }, log, ::desk)
-    private val loads = PeerLoads(options.self, loop, orders, peers::send)
+    private val loads = PeerLoads(options.self, loop, orders, ::now, peers::send)
     private val exchanges = Exchanges(exchangeContext())
     private val callers = CallerServer(
         loop,
@@ -178,9 +178,9 @@
         loop = loop,
         now = ::now,
         dialect = dialect,
-        servers = ExchangeContext.Servers(fleet, pool, ledger, loads::ask),
+        servers = ExchangeContext.Servers(fleet, pool, loads::ask),
         rules = ExchangeContext.Rules(
-            engines = EngineChoice(options.zone, ::loadable),
+            engines = EngineChoice(options.zone, loadPace, ::loadable),
             plain = PlainChoice(options.zone),
             budget = ::budget,
             version = versions::needed,
@@ -200,9 +200,9 @@
         log = log,
         metrics = metrics,
         version = versions::newest,
-        inUse = reports::inUse,
+        loads = loadPace,
+        storeLoads = { fleet.all.sumOf(Server::storeLoads) },
         refused = refused,
-        changed = {},
     )
 
     private fun budget(service: ServiceId) = budgets.getOrPut(service) {
@@ -225,7 +225,7 @@
     private fun tick() {
         val now = now()
         val live = members.live(now)
-        reports.tick(live, orders)
+        reports.tick(orders)
         fleet.settle(now).forEach {
             log.write { "event=server_lapsed server=$it" }
             pool.forget(it)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.util.concurrent.TimeUnit
 import kotlin.math.min
+import kotlin.random.Random
 
 /**
  * One request of a caller from its last byte to its final answer.
@@ -33,10 +34,11 @@
 ) : CallerWatcher {
     private val startedAt = request.arrivedAt
     private val endsAt = startedAt + min(route.timeoutMillis, facts.deadlineMillis ?: Long.MAX_VALUE)
+    private val times = Placement.Times(startedAt, endsAt)
     private val tried = HashSet<BackendServerId>()
     private val delivery = Delivery(context, answer, route, facts)
     private val placement = Placement(context, route, facts, service, spec)
-    private var reservation: WorkLedger.Reservation? = null
+    private var reservation: Reservation? = null
     private var link: HttpLink? = null
     private var sends = 0
     private var runs = 0
@@ -72,27 +74,33 @@
     private fun place() {
         if (over) return
         val now = context.now()
-        val choice = placement.choose(tried, startedAt, endsAt, delivery.begun, now)
-        when (choice) {
+        when (val choice = placement.choose(tried, times, progress(), now)) {
             is Choice.Send -> send(choice.server, choice.estimateMillis)
-            is Choice.Load -> load(choice.server, choice.estimateMillis)
+            is Choice.Load -> load(choice)
             is Choice.Refuse -> refuse(choice.reason.name.lowercase(), choice.retryAfterMillis)
         }
     }
 
-    private fun load(server: Server, estimate: Long) {
+    private fun progress(): Placement.Progress = when {
+        delivery.begun || runs > 0 -> Placement.Progress.STARTED
+        loadAsks > 0 || sends > 0 -> Placement.Progress.ACCEPTED
+        else -> Placement.Progress.NEW
+    }
+
+    private fun load(choice: Choice.Load) {
+        val server = choice.server
         val adapter = facts.adapter ?: return
         if (loadAsks >= MOST_LOAD_ASKS) return refuse("load_failed", LOAD_RETRY_MILLIS)
+        val progress = progress()
         loadAsks++
         val place = reserve(server)
-        val version = context.rules.version(adapter, context.now()) ?: 0
-        val missing = missingAt === server
         val askedAt = context.now()
-        context.servers.loads.ask(server, adapter, version, missing) { failure ->
+        val wanted = placement.wanted(adapter, choice.queueMillis, times, progress, askedAt)
+        context.servers.loads.ask(server, wanted, missing = missingAt === server) { failure ->
             if (over || reservation !== place) return@ask
             if (failure == null) {
                 log("loaded", "server=${server.id} adapter=$adapter waited_ms=${context.now() - askedAt}")
-                dispatch(server, estimate)
+                dispatch(server, choice.estimateMillis)
             } else {
                 log("load_failed", "server=${server.id} adapter=$adapter reason=$failure")
                 place.release()
@@ -107,10 +115,9 @@
         dispatch(server, estimate)
     }
 
-    private fun reserve(server: Server): WorkLedger.Reservation {
+    private fun reserve(server: Server): Reservation {
         reservation?.release()
-        return context.servers.ledger.reserve(server, facts.adapter, facts.promptTokens, facts.outputTokens)
-            .also { reservation = it }
+        return Reservation(server, facts.adapter, facts.promptTokens, facts.outputTokens).also { reservation = it }
     }
 
     private fun dispatch(server: Server, estimate: Long) {
@@ -249,8 +256,9 @@
     private fun refuse(reason: String, retryAfterMillis: Long) {
         if (runs > 0 || delivery.begun) return lost(reason)
         context.metrics.refused(reason)
-        own(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMillis.takeIf { it > 0 })
-        finish("refused reason=$reason retry_after_ms=$retryAfterMillis", keepLink = false)
+        val after = (retryAfterMillis * (1 + Random.nextDouble() * RETURN_SPREAD)).toLong()
+        own(HttpResponseStatus.SERVICE_UNAVAILABLE, after.takeIf { it > 0 })
+        finish("refused reason=$reason retry_after_ms=$after", keepLink = false)
     }
 
     private fun timeUp() {
@@ -290,6 +298,8 @@
     }
 
     private companion object {
+        /** Callers that are refused together return spread over this part of their wait, and not all at once. */
+        const val RETURN_SPREAD = 0.4
         const val MOST_LOAD_ASKS = 2
         const val MOST_TRIED = 3
         const val MOST_SENDS = 4
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
@@ -8,6 +8,7 @@
 import io.apricotslip.serving.fleet.Fleet
 import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
+import io.apricotslip.serving.order.WantedLoad
 import io.apricotslip.serving.placement.EngineChoice
 import io.apricotslip.serving.placement.PlainChoice
 import io.apricotslip.serving.retry.RepeatBudget
@@ -28,7 +29,7 @@
     val stopping: () -> Boolean,
 ) {
     /** The backend servers and the ways to them. */
-    class Servers(val fleet: Fleet, val pool: ServerPool, val ledger: WorkLedger, val loads: AdapterLoads)
+    class Servers(val fleet: Fleet, val pool: ServerPool, val loads: AdapterLoads)
 
     /** What decides where a request goes, and whether it goes again. */
     class Rules(
@@ -43,10 +44,7 @@
 
     /** Asks for an adapter to be loaded at a server. */
     fun interface AdapterLoads {
-        /**
-         * Asks for [adapter] in at least [version] at [server]; [missing] tells that the server said it does not hold
-         * it.
-         */
-        fun ask(server: Server, adapter: ServedAdapter, version: Long, missing: Boolean, done: (String?) -> Unit)
+        /** Asks for the load of [wanted] at [server]; [missing] tells that the server said it does not hold it. */
+        fun ask(server: Server, wanted: WantedLoad, missing: Boolean, done: (String?) -> Unit)
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
@@ -3,6 +3,7 @@
 import io.apricotslip.api.id.BackendServerId
 import io.apricotslip.api.id.ServiceId
 import io.apricotslip.serving.fleet.ServedAdapter
+import io.apricotslip.serving.order.WantedLoad
 import io.apricotslip.serving.placement.Choice
 import io.apricotslip.serving.placement.EngineAsk
 import io.apricotslip.serving.state.Route
@@ -17,20 +18,42 @@
     private val service: ServiceId,
     private val spec: ServiceSpec?,
 ) {
-    /**
-     * Chooses a server at [now] for a request that came at [startedAt] and ends at [endsAt] at the latest.
-     *
-     * @param begun whether the caller has seen a part of the answer.
-     */
-    fun choose(tried: Set<BackendServerId>, startedAt: Long, endsAt: Long, begun: Boolean, now: Long): Choice {
+    /** When a request came, and when it ends at the latest. */
+    class Times(val startedAt: Long, val endsAt: Long)
+
+    /** How far a request has come. */
+    enum class Progress {
+        /** It can be refused at once. */
+        NEW,
+
+        /** It was accepted, and waited for a server or an adapter. */
+        ACCEPTED,
+
+        /** It may have run, or the caller has seen a part of the answer. */
+        STARTED,
+    }
+
+    /** Chooses a server at [now]. */
+    fun choose(tried: Set<BackendServerId>, times: Times, progress: Progress, now: Long): Choice {
         val servers = context.servers.fleet.usable(service, now)
         val engine = spec?.engine
         val adapter = facts.adapter
         if (engine == null || adapter == null) return context.rules.plain.choose(servers, tried, now)
-        val ask = ask(adapter, tried, patience(startedAt, endsAt, begun, now), now)
+        val ask = ask(adapter, tried, times, progress, now)
         return context.rules.engines.choose(ask, servers, engine, now)
     }
 
+    /** The wish for [adapter] at an engine where the prompt will wait and be read for [queueMillis]. */
+    fun wanted(adapter: ServedAdapter, queueMillis: Long, times: Times, progress: Progress, now: Long): WantedLoad {
+        val started = progress == Progress.STARTED
+        return WantedLoad(
+            adapter = adapter,
+            version = context.rules.version(adapter, now) ?: 0,
+            dueAt = if (started) now else times.startedAt + route.targetMillis - queueMillis,
+            untilAt = if (started) times.endsAt else now + patience(times, ACCEPTED_PATIENCE, now),
+        )
+    }
+
     /** Connections that this node may have to one server: its part of what the server accepts. */
     fun connections(): Int =
         ((spec?.maxConnections ?: Int.MAX_VALUE) / context.nodes()).coerceAtLeast(FEWEST_CONNECTIONS)
@@ -38,26 +61,43 @@
     /** Urgency for the queue of an engine; null for plain services. */
     fun priority(): Int? = if (spec?.engine == null) null else route.priority.coerceAtMost(LOWEST_PRIORITY)
 
-    private fun ask(adapter: ServedAdapter, tried: Set<BackendServerId>, budgetMillis: Long, now: Long) = EngineAsk(
-        adapter = adapter,
-        version = context.rules.version(adapter, now),
-        promptTokens = facts.promptTokens,
-        outputTokens = facts.outputTokens,
-        budgetMillis = budgetMillis,
-        gapMillis = route.gapMillis,
-        excluded = tried,
-    )
-
-    /** Time in which a first event is still worth waiting for; a stream that began is always worth its end. */
-    private fun patience(startedAt: Long, endsAt: Long, begun: Boolean, now: Long): Long {
-        val left = endsAt - now
-        if (begun) return left
-        return min(left, (route.targetMillis * PATIENCE).toLong() - (now - startedAt))
+    private fun ask(
+        adapter: ServedAdapter,
+        tried: Set<BackendServerId>,
+        times: Times,
+        progress: Progress,
+        now: Long,
+    ): EngineAsk {
+        val queue = when (progress) {
+            Progress.NEW -> patience(times, PATIENCE, now)
+            Progress.ACCEPTED -> patience(times, ACCEPTED_PATIENCE, now)
+            Progress.STARTED -> times.endsAt - now
+        }
+        return EngineAsk(
+            adapter = adapter,
+            version = context.rules.version(adapter, now),
+            promptTokens = facts.promptTokens,
+            outputTokens = facts.outputTokens,
+            budgetMillis = queue,
+            loadBudgetMillis = maxOf(queue, patience(times, LOAD_PATIENCE, now)),
+            gapMillis = route.gapMillis,
+            excluded = tried,
+        )
     }
 
+    /** What is left at [now] of [objectives] times the objective. */
+    private fun patience(times: Times, objectives: Double, now: Long): Long =
+        min(times.endsAt - now, (route.targetMillis * objectives).toLong() - (now - times.startedAt))
+
     private companion object {
         /** First events later than this many objectives are not worth the queue that they make others wait in. */
         const val PATIENCE = 1.5
+
+        /** Loads that are late yield to those in time, so that a wait for one costs others less than a queue does. */
+        const val LOAD_PATIENCE = 2.0
+
+        /** A request that waited already is worth a late answer more than a refusal and another try. */
+        const val ACCEPTED_PATIENCE = 3.0
         const val FEWEST_CONNECTIONS = 4
         const val LOWEST_PRIORITY = 9
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderDesk.kt
@@ -78,7 +78,7 @@
     fun renew(adapter: ServedAdapter, version: Long) {
         held.values.toList().forEach { orders ->
             val present = orders.places.resident[adapter] ?: return@forEach
-            if (present < version) orders.ask(adapter, version, missing = false) { _, _ -> }
+            if (present < version) orders.renew(adapter, version)
         }
     }
 
@@ -92,19 +92,11 @@
         val fence = claims.mine(id) ?: return
         val server = fleet[id] ?: return
         val spec = spec(server) ?: return
-        val places = AdapterPlaces(capacity(server, spec))
+        val places = AdapterPlaces(spec.adapterPlaces(server.entry.models))
         held[id] = ServerOrders(server, places, fence, shared).also(ServerOrders::begin)
         log.write { "event=claim server=$id fence=$fence adapters=${server.entry.adapters.size}" }
     }
 
-    /** Places that the weights of the models that the server holds leave for adapters. */
-    private fun capacity(server: Server, spec: ServiceSpec.EngineSpec): Int {
-        val models = spec.models.filter { it.id in server.entry.models }.ifEmpty { spec.models.take(1) }
-        val adapterSize = models.maxOfOrNull { it.adapterMegabytes }?.coerceAtLeast(1.0) ?: 1.0
-        val room = (spec.weightsMegabytes - models.sumOf { it.megabytes }) / adapterSize
-        return minOf(spec.adapterPlaces, room.toInt().coerceAtLeast(0))
-    }
-
     /** Orders weights for a server that came back empty. */
     private fun loadModel(orders: ServerOrders) {
         if (orders.server.entry.models.isNotEmpty()) return
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/PeerLoads.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/PeerLoads.kt
@@ -4,6 +4,7 @@
 import io.apricotslip.api.peer.FleetMessage
 import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
+import io.apricotslip.serving.order.WantedLoad
 import io.netty.channel.EventLoop
 import java.util.concurrent.TimeUnit
 
@@ -12,6 +13,7 @@
     private val self: VmId,
     private val loop: EventLoop,
     private val orders: OrderDesk,
+    private val now: () -> Long,
     private val send: (VmId, FleetMessage) -> Boolean,
 ) {
     private class Open(val server: Server, val adapter: ServedAdapter, val done: (String?) -> Unit)
@@ -20,17 +22,26 @@
     private var number = 0L
 
     /** Asks for [adapter] at [server]; [done] hears null when it is there, else why not. */
-    fun ask(server: Server, adapter: ServedAdapter, version: Long, missing: Boolean, done: (String?) -> Unit) {
+    fun ask(server: Server, wanted: WantedLoad, missing: Boolean, done: (String?) -> Unit) {
         val holder = orders.holder(server.id) ?: return done("no holder")
         if (holder == self) {
             val held = orders.held(server.id) ?: return done("no holder")
-            return held.ask(adapter, version, missing) { failure, _ -> done(failure) }
+            return held.ask(wanted, missing) { failure, _ -> done(failure) }
         }
         val asked = number++
-        open[asked] = Open(server, adapter, done)
-        val message = FleetMessage.LoadAsk(server.id, adapter.toString(), version, missing, asked)
+        open[asked] = Open(server, wanted.adapter, done)
+        val wait = wanted.untilAt - now()
+        val message = FleetMessage.LoadAsk(
+            server = server.id,
+            adapter = wanted.adapter.toString(),
+            version = wanted.version,
+            missing = missing,
+            number = asked,
+            dueMillis = wanted.dueAt - now(),
+            untilMillis = wait,
+        )
         if (!send(holder, message)) return end(asked, "no link to the holder")
-        loop.schedule({ end(asked, "no answer of the holder") }, ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+        loop.schedule({ end(asked, "no answer of the holder") }, wait + ANSWER_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     /** A peer asks this node. */
@@ -40,7 +51,9 @@
             Unit
         }
         val held = orders.held(ask.server) ?: return reply("not the holder", 0)
-        held.ask(ServedAdapter.parse(ask.adapter), ask.version, ask.missing, reply)
+        val adapter = ServedAdapter.parse(ask.adapter)
+        val wanted = WantedLoad(adapter, ask.version, now() + ask.dueMillis, now() + ask.untilMillis)
+        held.ask(wanted, ask.missing, reply)
     }
 
     /** A peer answers. */
@@ -55,7 +68,7 @@
     }
 
     private companion object {
-        /** A little longer than a holder takes at most. */
-        const val ANSWER_MILLIS = 1_400L
+        /** Time for the holder's answer after the wait is over: a tick of the holder and the way. */
+        const val ANSWER_MILLIS = 200L
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/ServerOrders.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/ServerOrders.kt
@@ -7,6 +7,8 @@
 import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.order.AdapterPlaces
+import io.apricotslip.serving.order.LoadPace
+import io.apricotslip.serving.order.WantedLoad
 import io.netty.channel.EventLoop
 import java.util.concurrent.TimeUnit
 
@@ -26,16 +28,22 @@
         val log: DecisionLog,
         val metrics: GatewayMetrics,
         val version: (ServedAdapter) -> Long,
-        val inUse: (Server, ServedAdapter) -> Boolean,
+        val loads: LoadPace,
+        val storeLoads: () -> Int,
         val refused: (Server) -> Unit,
-        val changed: () -> Unit,
     )
 
-    private class Ask(val adapter: ServedAdapter, val version: Long, val since: Long, val done: (String?, Long) -> Unit)
+    private class Ask(val wanted: WantedLoad, val done: (String?, Long) -> Unit) {
+        val adapter = wanted.adapter
+    }
+
+    /** A load that was ordered; [beside] are the loads from the store at that time, and [repeated] needs no store. */
+    private class Ordered(val at: Long, val beside: Int, val repeated: Boolean)
 
     private val asks = ArrayList<Ask>()
     private var closed = false
     private var known = false
+    private var pumping = false
     private var modelOrderedAt = Long.MIN_VALUE / 2
 
     /** Learns from the server what it holds, after its report shows orders of before; nothing is ordered until then. */
@@ -50,30 +58,41 @@
             places.reported(report.adapters, desk.now())
             report.incoming.forEach {
                 places.loading(it, desk.now())
-                later(LOAD_MILLIS) { confirm(it, desk.version(it), 0) }
+                val unknown = Ordered(desk.now(), beside = 0, repeated = true)
+                later(CONFIRM_MILLIS) { confirm(it, desk.version(it), unknown, 0) }
             }
             known = true
-            desk.changed()
+            changed()
             pump()
         }
     }
 
-    /** Asks for [adapter] in at least [version]; [missing] tells that the server said it does not hold it. */
-    fun ask(adapter: ServedAdapter, version: Long, missing: Boolean, done: (String?, Long) -> Unit) {
-        if (missing) places.doubted(adapter)
-        asks.add(Ask(adapter, version, desk.now(), done))
+    /** Asks for the load of [wanted]; [missing] tells that the server said it does not hold the adapter. */
+    fun ask(wanted: WantedLoad, missing: Boolean, done: (String?, Long) -> Unit) {
+        if (missing) places.doubted(wanted.adapter)
+        asks.add(Ask(wanted, done))
         pump()
     }
 
-    /** Ends asks that waited too long, and takes those on that can go on. */
-    fun tick() {
+    /** Replaces [adapter] by [version], which no request waits for yet. */
+    fun renew(adapter: ServedAdapter, version: Long) {
         val now = desk.now()
-        val late = asks.filter { now - it.since > ASK_MILLIS }
+        ask(WantedLoad(adapter, version, now + RENEW_DUE_MILLIS, now + RENEW_MILLIS), missing = false) { _, _ -> }
+    }
+
+    /** Ends asks that cannot be met in time, and takes those on that can go on. */
+    fun tick() {
+        val late = asks.filter(::hopeless)
         asks.removeAll(late)
         late.forEach { it.done("no place in time", 0) }
         pump()
     }
 
+    private fun hopeless(ask: Ask): Boolean {
+        val needed = if (ask.adapter in places.incoming) 0.0 else loadMillis(ask.adapter)
+        return desk.now() + needed > ask.wanted.untilAt
+    }
+
     /** Ends all asks: the claim was lost or the server is gone. */
     fun close(reason: String) {
         closed = true
@@ -93,68 +112,105 @@
     private fun pump() {
         if (closed || !known) return
         val now = desk.now()
-        for (ask in asks.toList()) {
-            when (val step = places.next(ask.adapter, ask.version, now) { desk.inUse(server, it) || wanted(it) }) {
+        val ordered = asks.sortedWith(compareBy(WantedLoad.order(now, desk.loads.firstMillis), Ask::wanted))
+        for (ask in ordered) {
+            val wanted = ask.wanted
+            when (val step = places.next(wanted.adapter, wanted.version, now, mayLoad(ask.adapter), ::inUse)) {
                 AdapterPlaces.Step.Present -> finish(ask)
                 AdapterPlaces.Step.Load -> load(ask.adapter)
                 AdapterPlaces.Step.Wait -> Unit
                 is AdapterPlaces.Step.Unload -> unload(step.victim)
             }
         }
+        if (asks.isNotEmpty()) pumpSoon()
+    }
+
+    /** Looks again soon: places and the store become free without a word to this node. */
+    private fun pumpSoon() {
+        if (pumping) return
+        pumping = true
+        later(PUMP_MILLIS) {
+            pumping = false
+            pump()
+        }
     }
 
-    private fun wanted(adapter: ServedAdapter) = asks.any { it.adapter == adapter }
+    private fun mayLoad(adapter: ServedAdapter): Boolean = server.heldBefore(adapter) ||
+        desk.loads.hasRoom(desk.storeLoads())
+
+    private fun inUse(adapter: ServedAdapter): Boolean =
+        server.inUse(adapter, desk.now()) || asks.any { it.adapter == adapter }
+
+    private fun loadMillis(adapter: ServedAdapter): Double =
+        if (server.heldBefore(adapter)) desk.loads.repeatedMillis else desk.loads.expectedMillis(desk.storeLoads())
+
+    /** Lets this node's own choices see what changed. */
+    private fun changed() {
+        server.toldByHolder(places.resident, places.incoming.toSet(), desk.now())
+    }
 
     private fun finish(ask: Ask) {
-        if (asks.remove(ask)) ask.done(null, places.resident[ask.adapter] ?: ask.version)
+        if (asks.remove(ask)) ask.done(null, places.resident[ask.adapter] ?: ask.wanted.version)
     }
 
     private fun load(adapter: ServedAdapter) {
-        val short = server.heldBefore(adapter)
+        val expected = loadMillis(adapter)
+        val ordered = Ordered(desk.now(), desk.storeLoads(), server.heldBefore(adapter))
         places.loading(adapter, desk.now())
-        desk.changed()
+        changed()
         val version = desk.version(adapter)
         order(load = true, adapter) { result ->
             when (result) {
                 OrderResult.DONE -> loaded(adapter, version)
                 OrderResult.ACCEPTED, OrderResult.UNKNOWN ->
-                    later(if (short) SHORT_LOAD_MILLIS else LOAD_MILLIS) { confirm(adapter, version, 0) }
-                else -> notLoaded(adapter)
+                    later((expected * FIRST_CONFIRM_SHARE).toLong()) { confirm(adapter, version, ordered, 0) }
+                OrderResult.BUSY, OrderResult.FENCED -> notLoaded(adapter, failed = false)
+                OrderResult.MISDIRECTED, OrderResult.REJECTED -> notLoaded(adapter, failed = true)
             }
         }
     }
 
     /**
      * Repeats the order of a load: the server answers that it is done as soon as it is. A load that was accepted keeps
-     * its
-     * place however long it takes, as the server may be about to fill it.
+     * its place however long it takes, as the server may be about to fill it.
      */
-    private fun confirm(adapter: ServedAdapter, version: Long, tries: Int) {
+    private fun confirm(adapter: ServedAdapter, version: Long, ordered: Ordered, tries: Int) {
         order(load = true, adapter) { result ->
             when (result) {
-                OrderResult.DONE -> loaded(adapter, version)
-                OrderResult.REJECTED, OrderResult.MISDIRECTED -> notLoaded(adapter)
+                OrderResult.DONE -> {
+                    learn(ordered, tries)
+                    loaded(adapter, version)
+                }
+                OrderResult.REJECTED, OrderResult.MISDIRECTED -> notLoaded(adapter, failed = true)
                 else -> {
                     if (tries == MOST_CONFIRMS) failAsks(adapter, "load takes too long")
-                    later(pause(tries)) { confirm(adapter, version, tries + 1) }
+                    later(pause(tries)) { confirm(adapter, version, ordered, tries + 1) }
                 }
             }
         }
     }
 
+    /** Learns from a confirmed load, which ended half a pause before the confirmation on average. */
+    private fun learn(ordered: Ordered, tries: Int) {
+        if (ordered.repeated || tries >= MOST_CONFIRMS) return
+        val before = if (tries == 0) 0 else CONFIRM_MILLIS / 2
+        val underWay = (ordered.beside + 1 + desk.storeLoads()) / 2.0
+        desk.loads.learn(underWay, desk.now() - ordered.at - before)
+    }
+
     private fun pause(tries: Int): Long = if (tries < MOST_CONFIRMS) CONFIRM_MILLIS else SLOW_CONFIRM_MILLIS
 
     private fun loaded(adapter: ServedAdapter, version: Long) {
         places.loaded(adapter, version, desk.now())
-        server.loaded(adapter, version)
-        desk.changed()
+        changed()
         pump()
     }
 
-    private fun notLoaded(adapter: ServedAdapter) {
+    /** The server did not take the order; asks go on waiting unless it [failed] for good. */
+    private fun notLoaded(adapter: ServedAdapter, failed: Boolean) {
         places.notLoading(adapter)
-        failAsks(adapter, "order refused")
-        desk.changed()
+        changed()
+        if (failed) failAsks(adapter, "order refused") else pumpSoon()
     }
 
     private fun failAsks(adapter: ServedAdapter, reason: String) {
@@ -165,8 +221,7 @@
 
     private fun unload(victim: ServedAdapter) {
         places.unloading(victim)
-        server.lacks(victim)
-        desk.changed()
+        changed()
         dropOrder(victim, 0)
     }
 
@@ -182,7 +237,7 @@
 
     private fun unloaded(victim: ServedAdapter) {
         places.unloaded(victim)
-        desk.changed()
+        changed()
         pump()
     }
 
@@ -209,11 +264,15 @@
         /** An engine's report is some hundred milliseconds old. */
         const val REPORT_LAG_MILLIS = 400L
 
-        /** Time of an adapter's first load by the deployments' sheets. */
-        const val LOAD_MILLIS = 250L
+        /** Part of the expected time of a load after which it is confirmed first: some loads are shorter. */
+        const val FIRST_CONFIRM_SHARE = 0.9
 
-        /** A tenth of that, for an adapter that the server held not long ago. */
-        const val SHORT_LOAD_MILLIS = 27L
+        /** While requests wait; a part of a load. */
+        const val PUMP_MILLIS = 30L
+
+        /** A new version is needed within a few seconds; older ones answer meanwhile. */
+        const val RENEW_DUE_MILLIS = 600L
+        const val RENEW_MILLIS = 10_000L
 
         /** Between confirmations: a confirmation costs a small call, a late one delays the request. */
         const val CONFIRM_MILLIS = 30L
@@ -222,9 +281,6 @@
         const val MOST_CONFIRMS = 40
         const val SLOW_CONFIRM_MILLIS = 200L
 
-        /** After this an ask is answered, so that the request can go elsewhere within its objective. */
-        const val ASK_MILLIS = 1_200L
-
         /** Between orders of a model's weights to one server. */
         const val MODEL_MILLIS = 3_000L
     }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
@@ -37,11 +37,16 @@
     /** Work of this node there. */
     public var own: UseCounts = UseCounts()
 
-    private class PeerUse(val counts: UseCounts, val at: Long)
+    private class PeerUse(val counts: UseCounts, val adapters: Set<ServedAdapter>, val at: Long)
 
     private val peers = HashMap<VmId, PeerUse>()
     private var toldByHolderAt = Long.MIN_VALUE / 2
     private val held = LinkedHashSet(entry.adapters.keys)
+    private val ownAdapters = HashMap<ServedAdapter, Int>()
+
+    /** Adapters that requests of this node use there, or wait for. */
+    public val usedAdapters: Set<ServedAdapter>
+        get() = ownAdapters.keys
 
     /** Takes a newer entry of the same life. */
     public fun update(newer: ServerEntry, at: Long, now: Long) {
@@ -73,19 +78,45 @@
     /** Whether the server held [adapter] not long ago, which makes a load of it short. */
     public fun heldBefore(adapter: ServedAdapter): Boolean = adapter in held
 
-    /** Takes the counts of [peer]. */
-    public fun peerUses(peer: VmId, counts: UseCounts, now: Long) {
-        if (counts == NONE) peers.remove(peer) else peers[peer] = PeerUse(counts, now)
+    /** Takes the counts of [peer], whose requests use [adapters] or wait for them. */
+    public fun peerUses(peer: VmId, counts: UseCounts, adapters: Set<ServedAdapter>, now: Long) {
+        if (counts == NONE) peers.remove(peer) else peers[peer] = PeerUse(counts, adapters, now)
+    }
+
+    /** Takes note of a request of this node that uses [adapter], or waits for it. */
+    public fun startsUse(adapter: ServedAdapter) {
+        ownAdapters.merge(adapter, 1, Int::plus)
+    }
+
+    /** Takes note that a request of this node does not use [adapter] any more. */
+    public fun endsUse(adapter: ServedAdapter) {
+        ownAdapters.computeIfPresent(adapter) { _, count -> (count - 1).takeIf { it > 0 } }
     }
 
+    /** Whether a request of any node uses [adapter], or waits for it, as far as known at [now]. */
+    public fun inUse(adapter: ServedAdapter, now: Long): Boolean =
+        adapter in ownAdapters || peers.values.any { fresh(it, now) && adapter in it.adapters }
+
+    /** Adapters that requests of all nodes use, or wait for, as far as known at [now]. */
+    public fun adaptersInUse(now: Long): Set<ServedAdapter> {
+        val all = HashSet(ownAdapters.keys)
+        for (use in peers.values) if (fresh(use, now)) all.addAll(use.adapters)
+        return all
+    }
+
+    /** Loads from the weight store that are under way. */
+    public fun storeLoads(): Int = incoming.count { !heldBefore(it) }
+
     /** Work of all nodes there, as far as known at [now]. */
     public fun use(now: Long): UseCounts {
         if (peers.isEmpty()) return own
         var sum = own
-        for (use in peers.values) if (now - use.at < PEER_USE_MILLIS) sum += use.counts
+        for (use in peers.values) if (fresh(use, now)) sum += use.counts
         return sum
     }
 
+    private fun fresh(use: PeerUse, now: Long) = now - use.at < PEER_USE_MILLIS
+
     private fun hold(resident: Map<ServedAdapter, Long>, coming: Set<ServedAdapter>) {
         adapters = resident
         incoming = coming
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/AdapterPlaces.kt
@@ -39,14 +39,24 @@
     public val incoming: Set<ServedAdapter>
         get() = coming.keys
 
-    /** The next step for [adapter] in at least [version]; adapters for which [inUse] holds are not dropped. */
-    public fun next(adapter: ServedAdapter, version: Long, now: Long, inUse: (ServedAdapter) -> Boolean): Step {
+    /**
+     * The next step for [adapter] in at least [version]; adapters for which [inUse] holds are not dropped.
+     *
+     * @param mayLoad whether a load of it may start now.
+     */
+    public fun next(
+        adapter: ServedAdapter,
+        version: Long,
+        now: Long,
+        mayLoad: Boolean = true,
+        inUse: (ServedAdapter) -> Boolean,
+    ): Step {
         val there = present[adapter]
         if (there != null && there.serves(version) && adapter !in leaving) {
             there.usedAt = now
             return Step.Present
         }
-        if (adapter in coming || adapter in leaving) return Step.Wait
+        if (!mayLoad || adapter in coming || adapter in leaving) return Step.Wait
         if (coming.size + leaving.size >= concurrentLoads) return Step.Wait
         if (there != null || present.size + coming.size < capacity) return Step.Load
         val victim = victim(now, inUse)
@@ -111,11 +121,11 @@
         for ((adapter, version) in adapters) present[adapter] = Resident(version, now - RECENT_MILLIS)
     }
 
-    private companion object {
-        /** Adapters that an engine takes at the same time. */
+    internal companion object {
+        /** Adapters that an engine takes at the same time, by the pages of the platform. */
         const val CONCURRENT_LOADS = 4
 
         /** Two reports of another node. */
-        const val RECENT_MILLIS = 300L
+        private const val RECENT_MILLIS = 300L
     }
 }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/Choice.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/Choice.kt
@@ -7,8 +7,9 @@
     /** To [server] at once; the first event is expected after [estimateMillis]. */
     public data class Send(public val server: Server, public val estimateMillis: Long) : Choice()
 
-    /** To [server], once the adapter is loaded there. */
-    public data class Load(public val server: Server, public val estimateMillis: Long) : Choice()
+    /** To [server], once the adapter is loaded there; [queueMillis] of [estimateMillis] come after the load. */
+    public data class Load(public val server: Server, public val estimateMillis: Long, public val queueMillis: Long) :
+        Choice()
 
     /** Nowhere: the caller may come back after [retryAfterMillis]. */
     public data class Refuse(public val reason: Reason, public val retryAfterMillis: Long) : Choice()
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineAsk.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineAsk.kt
@@ -9,7 +9,8 @@
  * @property version oldest version of the adapter that may answer, or null when any may.
  * @property promptTokens length of the prompt.
  * @property outputTokens largest length of the answer.
- * @property budgetMillis time in which the first event is worth waiting for.
+ * @property budgetMillis time in which the first event is worth waiting for in the queue of an engine.
+ * @property loadBudgetMillis the same when an adapter must be loaded first; such a wait keeps no engine busy.
  * @property gapMillis longest pause between events that is on time; 0 when there is none.
  * @property excluded servers that were tried in vain.
  */
@@ -19,6 +20,7 @@
     public val promptTokens: Int,
     public val outputTokens: Int,
     public val budgetMillis: Long,
+    public val loadBudgetMillis: Long = budgetMillis,
     public val gapMillis: Long = 0,
     public val excluded: Set<BackendServerId> = emptySet(),
 )
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineChoice.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineChoice.kt
@@ -2,52 +2,93 @@
 
 import io.apricotslip.api.id.ZoneId
 import io.apricotslip.rules.placement.Rendezvous
+import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.fleet.UseCounts
+import io.apricotslip.serving.order.AdapterPlaces
+import io.apricotslip.serving.order.LoadPace
 import io.apricotslip.serving.state.ServiceSpec.EngineSpec
 
 /**
  * Chooses the engine with the earliest expected first event.
  *
  * The load that it answers: many rare adapters among a few busy ones, on engines of unequal speed. An adapter's
- * requests
- * stay together until the queue of its engine costs more than a load elsewhere; rare adapters return to the engine that
- * held them before, where a load is short.
+ * requests stay together until the queue of its engine costs more than a load elsewhere; rare adapters return to the
+ * engine that held them before, where a load is short. When demand moves and more adapters are wanted than the weight
+ * store delivers, or than engines have places for, requests that would wait too long are refused at once.
  *
  * @param loadable whether adapters can be loaded at a server now: its order holder is known and reachable.
  */
-public class EngineChoice(private val zone: ZoneId, private val loadable: (Server) -> Boolean) {
-    /** An engine, the expected time to a first event there, and what else speaks against it, in the same unit. */
-    private class Option(val server: Server, val millis: Double, val penalty: Double, val resident: Boolean)
+public class EngineChoice(
+    private val zone: ZoneId,
+    private val loads: LoadPace,
+    private val loadable: (Server) -> Boolean,
+) {
+    /**
+     * An engine and the expected time to a first event there.
+     *
+     * @property queueMillis time in the queue of the engine and for reading the prompt.
+     * @property loadMillis time until the adapter is in place; 0 when it is.
+     * @property penalty what else speaks against the engine, in milliseconds.
+     */
+    private class Option(
+        val server: Server,
+        val queueMillis: Double,
+        val loadMillis: Double,
+        val penalty: Double,
+        val resident: Boolean,
+    ) {
+        val millis = queueMillis + loadMillis
+
+        fun over(ask: EngineAsk): Double =
+            maxOf(queueMillis - ask.budgetMillis, if (resident) 0.0 else millis - ask.loadBudgetMillis)
+    }
+
+    /** Adapters that are wanted and not in place: at each engine, and at all of them together. */
+    private class Backlog(private val adapter: ServedAdapter, servers: List<Server>, now: Long) {
+        private val wanted = servers.associate { it.id to it.adaptersInUse(now) }
+        private val pending = servers.associate { server ->
+            server.id to wanted.getValue(server.id).count { it != adapter && it !in server.adapters }
+        }
+        val all: Int = pending.values.sum()
 
-    /** Chooses among [servers], which are usable, for [ask]. */
+        fun at(server: Server): Int = pending.getValue(server.id)
+
+        /** Places that are taken by adapters which requests use, or wait for. */
+        fun taken(server: Server): Int = wanted.getValue(server.id).count { it != adapter }
+    }
+
+    /**
+     * Chooses among [servers], which are usable, for [ask]. A caller that is refused may come back when the work that
+     * is there now is done.
+     */
     public fun choose(ask: EngineAsk, servers: List<Server>, spec: EngineSpec, now: Long): Choice {
         val holding = servers.filter { ask.adapter.model in it.entry.models && it.id !in ask.excluded }
         if (holding.isEmpty()) return Choice.Refuse(Choice.Reason.NO_SERVER, NO_SERVER_RETRY_MILLIS)
         val sound = holding.filterNot { it.health.grey }.ifEmpty { holding }
-        val options = sound.mapNotNull { option(ask, it, spec, now) }
+        val backlog = lazy(LazyThreadSafetyMode.NONE) { Backlog(ask.adapter, servers, now) }
+        val options = sound.mapNotNull { option(ask, it, spec, backlog, now) }
         val best = options.minByOrNull { it.millis + it.penalty }
             ?: return Choice.Refuse(Choice.Reason.NO_PLACE, NO_PLACE_RETRY_MILLIS)
-        if (best.millis > ask.budgetMillis) {
-            val wait = (best.millis - ask.budgetMillis).toLong() + SPREAD_MILLIS
-            return Choice.Refuse(Choice.Reason.OVERLOADED, wait)
-        }
+        val over = best.over(ask)
+        if (over > 0) return Choice.Refuse(Choice.Reason.OVERLOADED, best.millis.toLong())
         val estimate = best.millis.toLong()
-        return if (best.resident) Choice.Send(best.server, estimate) else Choice.Load(best.server, estimate)
+        if (best.resident) return Choice.Send(best.server, estimate)
+        return Choice.Load(best.server, estimate, best.queueMillis.toLong())
     }
 
-    private fun option(ask: EngineAsk, server: Server, spec: EngineSpec, now: Long): Option? {
+    private fun option(ask: EngineAsk, server: Server, spec: EngineSpec, backlog: Lazy<Backlog>, now: Long): Option? {
         val use = server.use(now)
         val queue =
-            server.pace.firstEventMillis(use.unreadTokens, ask.promptTokens) + fullMillis(ask, server, spec, now)
+            server.pace.firstEventMillis(use.unreadTokens, ask.promptTokens) + fullMillis(ask, server, use, spec)
         val distance = if (server.entry.zone == zone) 0.0 else OTHER_ZONE_MILLIS
         val penalty = distance + pauseCost(ask, server, use)
         val version = server.adapters[ask.adapter]
         val resident = ask.adapter.adapter == null || (version != null && version >= (ask.version ?: 0))
-        if (resident) return Option(server, queue, penalty, resident = true)
+        if (resident) return Option(server, queue, loadMillis = 0.0, penalty, resident = true)
         if (!loadable(server)) return null
-        val load = loadMillis(ask, server)
-        return Option(server, queue + load, penalty + loadCost(ask, server, spec), resident = false)
+        val load = loadMillis(ask.adapter, server, backlog.value) + placeMillis(server, spec, backlog.value)
+        return Option(server, queue, load, penalty + loadCost(ask.adapter, server, backlog.value), resident = false)
     }
 
     /** What it costs the streams of an engine that this prompt makes them pause for longer than they should. */
@@ -58,56 +99,65 @@
     }
 
     /** Time until a batch or memory that is full has room again. */
-    private fun fullMillis(ask: EngineAsk, server: Server, spec: EngineSpec, now: Long): Double {
-        val use = server.use(now)
+    private fun fullMillis(ask: EngineAsk, server: Server, use: UseCounts, spec: EngineSpec): Double {
         val slots = server.entry.slots.coerceAtLeast(1)
         val overSlots = use.running + 1 - slots
         val tokens = use.memoryTokens + ask.promptTokens + ask.outputTokens
         val overTokens = tokens - spec.memoryTokens * MEMORY_SHARE
-        val stream = server.pace.gap * EVENTS_OF_STREAM
-        val bySlots = if (overSlots > 0) stream * overSlots / slots else 0.0
-        val byMemory = if (overTokens > 0) stream * overTokens / spec.memoryTokens else 0.0
+        val bySlots = if (overSlots > 0) streamMillis(server) * overSlots / slots else 0.0
+        val byMemory = if (overTokens > 0) streamMillis(server) * overTokens / spec.memoryTokens else 0.0
         return maxOf(bySlots, byMemory)
     }
 
-    private fun loadMillis(ask: EngineAsk, server: Server): Double = when {
-        ask.adapter in server.incoming -> COMING_MILLIS
-        server.heldBefore(ask.adapter) -> REPEATED_LOAD_MILLIS
-        else -> FIRST_LOAD_MILLIS
+    /** Time until the adapter is in place, with the loads that are wanted before it. */
+    private fun loadMillis(adapter: ServedAdapter, server: Server, backlog: Backlog): Double {
+        if (adapter in server.incoming) return loads.firstMillis * COMING_SHARE + ORDER_MILLIS
+        if (server.heldBefore(adapter)) return loads.repeatedMillis + ORDER_MILLIS
+        val turns = maxOf(
+            1.0,
+            (backlog.all + 1) / loads.atFullSpeed,
+            (backlog.at(server) + 1.0) / AdapterPlaces.CONCURRENT_LOADS,
+        )
+        return loads.firstMillis * turns + ORDER_MILLIS
     }
 
-    /**
-     * Each first load drops an adapter that may be asked for again; equals are told apart the same way at all nodes.
-     */
-    private fun loadCost(ask: EngineAsk, server: Server, spec: EngineSpec): Double {
-        if (ask.adapter in server.incoming || server.heldBefore(ask.adapter)) return 0.0
-        val taken = (server.adapters.size + server.incoming.size).toDouble() / spec.adapterPlaces.coerceAtLeast(1)
-        return CROWDED_MILLIS * taken +
-            PREFERENCE_MILLIS * Rendezvous.unit(ask.adapter.toString(), server.id.value)
+    /** Time until one of the places is free, when requests use all of them. */
+    private fun placeMillis(server: Server, spec: EngineSpec, backlog: Backlog): Double {
+        val places = spec.adapterPlaces(server.entry.models).coerceAtLeast(1)
+        val over = backlog.taken(server) + 1 - places
+        return if (over > 0) streamMillis(server) * over / places else 0.0
+    }
+
+    private fun streamMillis(server: Server) = server.pace.gap * EVENTS_OF_STREAM
+
+    /** Tells engines for a first load apart: the same way at all nodes, unless one has more loads to do than others. */
+    private fun loadCost(adapter: ServedAdapter, server: Server, backlog: Backlog): Double {
+        if (adapter in server.incoming || server.heldBefore(adapter)) return 0.0
+        return FIRST_LOAD_COST_MILLIS + BEHIND_MILLIS * backlog.at(server) +
+            PREFERENCE_MILLIS * Rendezvous.unit(adapter.toString(), server.id.value)
     }
 
     private companion object {
         /** The queue of a service without servers: about the time until a crashed server is back. */
         const val NO_SERVER_RETRY_MILLIS = 1_000L
 
-        /** A few adapter loads. */
-        const val NO_PLACE_RETRY_MILLIS = 500L
-
-        /** Added to Retry-After, so that callers come when there is room and not just before. */
-        const val SPREAD_MILLIS = 150L
+        /** About the time in which nodes that start together claim the orders of the engines. */
+        const val NO_PLACE_RETRY_MILLIS = 900L
 
         /** Bytes between zones are priced by the users; worth a few milliseconds of the objective, no more. */
         const val OTHER_ZONE_MILLIS = 12.0
 
-        /** A load takes 250 ms by the deployments' sheets; the rest is the order and its confirmation. */
-        const val FIRST_LOAD_MILLIS = 290.0
+        /** The order, its confirmation and the way to the node that gives it. */
+        const val ORDER_MILLIS = 40.0
+
+        /** Half of a load that is under way is left, on average. */
+        const val COMING_SHARE = 0.5
 
-        /** A tenth of a first load, and the same rest. */
-        const val REPEATED_LOAD_MILLIS = 60.0
+        /** Loads from the store are priced by the users, and each drops an adapter that may be asked for again. */
+        const val FIRST_LOAD_COST_MILLIS = 40.0
 
-        /** Half a load. */
-        const val COMING_MILLIS = 150.0
-        const val CROWDED_MILLIS = 40.0
+        /** Loads at one engine wait for each other when the store is slow; less than the share of one in a load. */
+        const val BEHIND_MILLIS = 20.0
 
         /** Spread of the preference among engines, less than a load: it decides between equals. */
         const val PREFERENCE_MILLIS = 120.0
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/state/ServiceSpec.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/state/ServiceSpec.kt
@@ -30,7 +30,15 @@
         public val weightsMegabytes: Double,
         public val modelLoadsPerSecond: Double,
         public val models: List<ModelSpec>,
-    )
+    ) {
+        /** Places that the weights of the models in [held] leave for adapters. */
+        public fun adapterPlaces(held: Set<ModelId>): Int {
+            val present = models.filter { it.id in held }.ifEmpty { models.take(1) }
+            val size = present.maxOfOrNull { it.adapterMegabytes }?.coerceAtLeast(1.0) ?: 1.0
+            val room = (weightsMegabytes - present.sumOf { it.megabytes }) / size
+            return minOf(adapterPlaces, room.toInt().coerceAtLeast(0))
+        }
+    }
 
     /**
      * A model that the engines of a service may hold.
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/order/AdapterPlacesTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/order/AdapterPlacesTest.kt
@@ -20,13 +20,13 @@
     @Test
     fun `many asks at once drop no more adapters than an engine loads at once`() {
         val places = full()
-        val dropped = List(30) { places.next(adapter("b$it"), 0, 10, unused) }
+        val dropped = List(30) { places.next(adapter("b$it"), 0, 10, inUse = unused) }
             .filterIsInstance<Step.Unload>()
             .onEach { places.unloading(it.victim) }
         // Each ask takes its step before the next one is looked at, as the orders do.
         val more =
             List(30) {
-                places.next(adapter("c$it"), 0, 10, unused).also { step ->
+                places.next(adapter("c$it"), 0, 10, inUse = unused).also { step ->
                     if (step is Step.Unload) places.unloading(step.victim)
                 }
             }
@@ -47,9 +47,9 @@
     fun `a load that was accepted keeps its place until it is done`() {
         val places = AdapterPlaces(capacity = 1)
         places.loading(adapter("a"), now = 0)
-        expectThat(places.next(adapter("b"), 0, 60_000, unused)).isEqualTo(Step.Wait)
+        expectThat(places.next(adapter("b"), 0, 60_000, inUse = unused)).isEqualTo(Step.Wait)
         places.loaded(adapter("a"), 1, now = 60_000)
-        expectThat(places.next(adapter("b"), 0, 61_000, unused)).isA<Step.Unload>()
+        expectThat(places.next(adapter("b"), 0, 61_000, inUse = unused)).isA<Step.Unload>()
     }
 
     @Test
@@ -57,14 +57,14 @@
         val places = full(capacity = 1)
         places.doubted(adapter("a0"))
         expectThat(places.resident.size).isEqualTo(0)
-        expectThat(places.next(adapter("a0"), 0, 1_000, unused)).isEqualTo(Step.Load)
-        expectThat(places.next(adapter("b"), 0, 1_000, unused)).isA<Step.Unload>()
+        expectThat(places.next(adapter("a0"), 0, 1_000, inUse = unused)).isEqualTo(Step.Load)
+        expectThat(places.next(adapter("b"), 0, 1_000, inUse = unused)).isA<Step.Unload>()
     }
 
     @Test
     fun `a newer version replaces an older one in its own place`() {
         val places = full(capacity = 1)
-        expectThat(places.next(adapter("a0"), 2, 1_000, unused)).isEqualTo(Step.Load)
+        expectThat(places.next(adapter("a0"), 2, 1_000, inUse = unused)).isEqualTo(Step.Load)
     }
 
     /** Plays asks, answers and refusals in random order against an engine that counts what it is ordered to hold. */
--- /dev/null
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/order/LoadPaceTest.kt
@@ -0,0 +1,42 @@
+package io.apricotslip.serving.order
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
+
+class LoadPaceTest {
+    private class Case(val name: String, val loadMillis: Double, val atFullSpeed: Int, val underWay: List<Int>)
+
+    private val cases = listOf(
+        Case("the deployments' smaller store", 250.0, 8, listOf(3, 12, 16, 4, 20)),
+        Case("a store with twice the loads", 250.0, 16, listOf(4, 26, 40, 3, 32)),
+        Case("adapters that take twice as long", 500.0, 8, listOf(2, 3, 16, 24, 2)),
+    )
+
+    @TestFactory
+    fun `learns the time of a load and the loads at full speed`() = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            val pace = LoadPace()
+            repeat(60) {
+                for (loads in case.underWay) {
+                    val millis = case.loadMillis * maxOf(1.0, loads / case.atFullSpeed.toDouble())
+                    pace.learn(loads.toDouble(), millis.toLong())
+                }
+            }
+            expectThat(pace.firstMillis).isIn(case.loadMillis * 0.8..case.loadMillis * 1.2)
+            expectThat(pace.atFullSpeed).isIn(case.atFullSpeed * 0.7..case.atFullSpeed * 1.3)
+        }
+    }
+
+    @Test
+    fun `loads beyond those at full speed take longer in proportion`() {
+        val pace = LoadPace()
+        expectThat(pace.expectedMillis(others = 3)).isEqualTo(pace.firstMillis)
+        expectThat(pace.expectedMillis(others = 15)).isEqualTo(pace.firstMillis * 16 / pace.atFullSpeed)
+        expectThat(pace.firstMillis).isGreaterThan(pace.repeatedMillis)
+    }
+}
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/placement/EngineChoiceTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/placement/EngineChoiceTest.kt
@@ -7,6 +7,7 @@
 import io.apricotslip.serving.Examples.zone
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.fleet.UseCounts
+import io.apricotslip.serving.order.LoadPace
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
@@ -23,7 +24,7 @@
         val expected: (Choice) -> Boolean,
     )
 
-    private val choice = EngineChoice(zone) { true }
+    private val choice = EngineChoice(zone, LoadPace()) { true }
 
     private fun Server.with(running: Int, unread: Long) = apply { own = UseCounts(running, unread, running * 1_600L) }
 
@@ -31,6 +32,14 @@
         repeat(60) { pace.learnFirst(tokens = 1_400, millis = 225) }
     }
 
+    private fun Server.useAdapters(count: Int) = repeat(count) { startsUse(adapter("$id-$it")) }
+
+    private fun busy(id: String, adapters: Int) =
+        server(id, *Array(adapters) { "$id-$it" }).apply { useAdapters(adapters) }
+
+    private fun loading(id: String, name: String) =
+        server(id).apply { toldByHolder(emptyMap(), setOf(adapter(name)), now = 0) }
+
     private val cases = listOf(
         Case("an idle engine that holds the adapter", listOf(server("e1"), server("e2", "a1")), ask("a1")) {
             it is Choice.Send && it.server.id.value == "e2"
@@ -68,6 +77,19 @@
         ) {
             it is Choice.Refuse && it.reason == Choice.Reason.NO_SERVER
         },
+        Case(
+            "an engine whose places are all in use is passed over",
+            listOf(busy("e1", adapters = 20), busy("e2", adapters = 12)),
+            ask("a1"),
+        ) { it is Choice.Load && it.server.id.value == "e2" },
+        Case(
+            "a refusal at once when far more adapters are wanted than the store delivers in time",
+            List(6) { server("e$it").apply { useAdapters(15) } },
+            ask("a1"),
+        ) { it is Choice.Refuse && it.reason == Choice.Reason.OVERLOADED && it.retryAfterMillis > 1_000 },
+        Case("a load that is wanted by others is waited for", listOf(loading("e1", "a1"), server("e2")), ask("a1")) {
+            it is Choice.Load && it.server.id.value == "e1"
+        },
         Case("an adapter in an older version is loaded anew", listOf(server("e1", "a1")), ask("a1").copy(version = 2)) {
             it is Choice.Load
         },
@@ -83,7 +105,7 @@
 
     @Test
     fun `does not load where no order holder is known`() {
-        val none = EngineChoice(zone) { false }
+        val none = EngineChoice(zone, LoadPace()) { false }
         expectThat(none.choose(ask("a1"), listOf(server("e1")), engine, 0)).isA<Choice.Refuse>()
             .get { reason }.isEqualTo(Choice.Reason.NO_PLACE)
     }
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/frame/FrameCodec.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/frame/FrameCodec.kt
@@ -20,5 +20,8 @@
         cbor.decodeFromByteArray(Frame.serializer(), bytes)
     } catch (e: RuntimeException) {
         throw FrameException("undecodable frame of ${bytes.size} bytes: ${e.message}", e)
+    } catch (e: StackOverflowError) {
+        // The library skips unknown fields recursively, so damaged bytes decide how deep it goes.
+        throw FrameException("frame of ${bytes.size} bytes is nested too deeply", e)
     }
 }
--- a/apricotslip-wire/src/test/kotlin/io/apricotslip/wire/Messages.kt
+++ b/apricotslip-wire/src/test/kotlin/io/apricotslip/wire/Messages.kt
@@ -49,7 +49,7 @@
 
     private fun fleet(): List<FleetMessage> = listOf(
         FleetMessage.Report(number(), several { VmId(text(9)) }, several { use() }, several { claim() }),
-        FleetMessage.LoadAsk(server(), text(16), number(), random.nextBoolean(), number()),
+        FleetMessage.LoadAsk(server(), text(16), number(), random.nextBoolean(), number(), number(), number()),
         FleetMessage.LoadAnswer(number(), random.nextBoolean(), number(), optional(20)),
     )
 
