--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -131,6 +131,7 @@
             "event=desired_state version=${state.version} revision=$revision routes=${state.routes.size} " +
                 "services=${state.services.size} before=${known?.version}"
         }
+        if (read()) exchanges.readDone()
     }
 
     override fun server(entry: ServerEntry, revision: Long) {
@@ -151,6 +152,7 @@
     override fun serversListed(ids: Set<BackendServerId>) {
         serversKnown = true
         fleet.listed(ids, now()).forEach(pool::forget)
+        if (read()) exchanges.readDone()
     }
 
     override fun adapterVersion(adapter: ServedAdapter, version: Long, revision: Long) {
@@ -169,7 +171,9 @@
         fleet.storeRegained(now())
     }
 
-    private fun ready(): Boolean = state != null && serversKnown && stoppingSince == null
+    private fun ready(): Boolean = read() && stoppingSince == null
+
+    private fun read(): Boolean = state != null && serversKnown
 
     private fun page(handler: CallerHandler) =
         CallerServer(loop, handler, { CallerLimits.Initial }, ::now, MOST_PAGE_CALLERS, PAGE_BODY_BYTES)
@@ -189,6 +193,7 @@
         metrics = metrics,
         desired = { state },
         nodes = members::size,
+        reading = { !read() },
         stopping = { stoppingSince?.let { now() - it > ACCEPT_MILLIS } ?: false },
     )
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/GatewayOptions.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/GatewayOptions.kt
@@ -25,7 +25,6 @@
     public val callerPort: Int,
     public val readyHost: String,
     public val readyPort: Int,
-    public val readyPath: String,
     public val seeds: List<VmId>,
     public val linkPort: Int,
     public val metricsPort: Int?,
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -77,6 +77,7 @@
         when (val choice = placement.choose(tried, times, progress(), now)) {
             is Choice.Send -> send(choice.server, choice.estimateMillis)
             is Choice.Load -> load(choice)
+            is Choice.Wait -> context.loop.schedule(::place, choice.millis, TimeUnit.MILLISECONDS)
             is Choice.Refuse -> refuse(choice.reason.name.lowercase(), choice.retryAfterMillis)
         }
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
@@ -26,6 +26,7 @@
     val metrics: GatewayMetrics,
     val desired: () -> DesiredState?,
     val nodes: () -> Int,
+    val reading: () -> Boolean,
     val stopping: () -> Boolean,
 ) {
     /** The backend servers and the ways to them. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchanges.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchanges.kt
@@ -24,12 +24,25 @@
     val open: Int
         get() = context.open
 
-    override fun begin(request: CallerRequest, answer: CallerAnswer): CallerWatcher {
+    private val early = EarlyRequests(context.loop, serves = ::serve, refuses = ::notReady)
+
+    override fun begin(request: CallerRequest, answer: CallerAnswer): CallerWatcher = when {
+        context.stopping() -> notReady(request, answer)
+        context.reading() -> early.keep(request, answer)
+        else -> serve(request, answer)
+    }
+
+    /** The node has read what it serves. */
+    fun readDone() = early.release()
+
+    private fun notReady(request: CallerRequest, answer: CallerAnswer): CallerWatcher {
         val facts = context.dialect.facts(request.headers)
-        val state = context.desired()
-        if (state == null || context.stopping()) {
-            return refuse(answer, facts, HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_READY_RETRY_MILLIS, "not_ready")
-        }
+        return refuse(answer, facts, HttpResponseStatus.SERVICE_UNAVAILABLE, NOT_READY_RETRY_MILLIS, "not_ready")
+    }
+
+    private fun serve(request: CallerRequest, answer: CallerAnswer): CallerWatcher {
+        val facts = context.dialect.facts(request.headers)
+        val state = context.desired() ?: return notReady(request, answer)
         val host = request.headers.get(HttpHeaderNames.HOST).orEmpty().substringBefore(':')
         val route = state.route(host, request.path)
             ?: return refuse(answer, facts, HttpResponseStatus.NOT_FOUND, null, "no_route version=${state.version}")
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
@@ -94,10 +94,10 @@
         const val PATIENCE = 1.5
 
         /** Loads that are late yield to those in time, so that a wait for one costs others less than a queue does. */
-        const val LOAD_PATIENCE = 2.0
+        const val LOAD_PATIENCE = 4.0
 
         /** A request that waited already is worth a late answer more than a refusal and another try. */
-        const val ACCEPTED_PATIENCE = 3.0
+        const val ACCEPTED_PATIENCE = 5.0
         const val FEWEST_CONNECTIONS = 4
         const val LOWEST_PRIORITY = 9
     }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/LoadPace.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/LoadPace.kt
@@ -40,7 +40,7 @@
         val slowdown = millis / aloneMillis
         when {
             slowdown > SLOWED -> atFullSpeed += WEIGHT * (underWay / slowdown - atFullSpeed)
-            underWay > atFullSpeed -> atFullSpeed += WEIGHT * (underWay - atFullSpeed)
+            underWay > atFullSpeed * PRESSED -> atFullSpeed += STEP
         }
         atFullSpeed = atFullSpeed.coerceAtLeast(FEWEST_AT_FULL_SPEED)
     }
@@ -59,6 +59,10 @@
         /** A load that takes longer by this factor was slowed by others and not by the wait for its confirmation. */
         const val SLOWED = 1.35
 
+        /** Part of the loads at full speed that must be under way before more are tried, and how many more. */
+        const val PRESSED = 0.7
+        const val STEP = 0.5
+
         /** About the last ten loads count. */
         const val WEIGHT = 0.1
     }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/Choice.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/Choice.kt
@@ -11,6 +11,9 @@
     public data class Load(public val server: Server, public val estimateMillis: Long, public val queueMillis: Long) :
         Choice()
 
+    /** Nowhere yet: an engine is expected to take the request soon; choose again after [millis]. */
+    public data class Wait(public val millis: Long) : Choice()
+
     /** Nowhere: the caller may come back after [retryAfterMillis]. */
     public data class Refuse(public val reason: Reason, public val retryAfterMillis: Long) : Choice()
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineChoice.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/EngineChoice.kt
@@ -69,7 +69,7 @@
         val backlog = lazy(LazyThreadSafetyMode.NONE) { Backlog(ask.adapter, servers, now) }
         val options = sound.mapNotNull { option(ask, it, spec, backlog, now) }
         val best = options.minByOrNull { it.millis + it.penalty }
-            ?: return Choice.Refuse(Choice.Reason.NO_PLACE, NO_PLACE_RETRY_MILLIS)
+            ?: return withoutHolder(ask)
         val over = best.over(ask)
         if (over > 0) return Choice.Refuse(Choice.Reason.OVERLOADED, best.millis.toLong())
         val estimate = best.millis.toLong()
@@ -77,6 +77,12 @@
         return Choice.Load(best.server, estimate, best.queueMillis.toLong())
     }
 
+    /** No order holder is known, as after a start: one is about to be, unless the nodes cannot talk. */
+    private fun withoutHolder(ask: EngineAsk): Choice {
+        if (ask.loadBudgetMillis > loads.firstMillis) return Choice.Wait(HOLDER_MILLIS)
+        return Choice.Refuse(Choice.Reason.NO_PLACE, NO_PLACE_RETRY_MILLIS)
+    }
+
     private fun option(ask: EngineAsk, server: Server, spec: EngineSpec, backlog: Lazy<Backlog>, now: Long): Option? {
         val use = server.use(now)
         val queue =
@@ -141,6 +147,9 @@
         /** The queue of a service without servers: about the time until a crashed server is back. */
         const val NO_SERVER_RETRY_MILLIS = 1_000L
 
+        /** Between looks for an order holder: a small part of the time until there is one. */
+        const val HOLDER_MILLIS = 60L
+
         /** About the time in which nodes that start together claim the orders of the engines. */
         const val NO_PLACE_RETRY_MILLIS = 900L
 
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/order/LoadPaceTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/order/LoadPaceTest.kt
@@ -32,6 +32,16 @@
         }
     }
 
+    @Test
+    fun `finds the loads of a larger store though it never starts more than it believes in`() {
+        val pace = LoadPace()
+        repeat(200) {
+            val underWay = pace.atFullSpeed
+            pace.learn(underWay, (250 * maxOf(1.0, underWay / 16)).toLong())
+        }
+        expectThat(pace.atFullSpeed).isIn(12.0..24.0)
+    }
+
     @Test
     fun `loads beyond those at full speed take longer in proportion`() {
         val pace = LoadPace()
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/placement/EngineChoiceTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/placement/EngineChoiceTest.kt
@@ -106,7 +106,8 @@
     @Test
     fun `does not load where no order holder is known`() {
         val none = EngineChoice(zone, LoadPace()) { false }
-        expectThat(none.choose(ask("a1"), listOf(server("e1")), engine, 0)).isA<Choice.Refuse>()
+        expectThat(none.choose(ask("a1", budget = 900), listOf(server("e1")), engine, 0)).isA<Choice.Wait>()
+        expectThat(none.choose(ask("a1", budget = 100), listOf(server("e1")), engine, 0)).isA<Choice.Refuse>()
             .get { reason }.isEqualTo(Choice.Reason.NO_PLACE)
     }
 
