--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -11,11 +11,8 @@
 import io.apricotslip.serving.state.Route
 import io.apricotslip.serving.state.RouteKind
 import io.apricotslip.serving.state.ServiceSpec
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.HttpResponseStatus
 import java.util.concurrent.TimeUnit
 import kotlin.math.min
-import kotlin.random.Random
 
 /**
  * One request of a caller from its last byte to its final answer.
@@ -37,6 +34,7 @@
     private val times = Placement.Times(startedAt, endsAt)
     private val tried = HashSet<BackendServerId>()
     private val delivery = Delivery(context, answer, route, facts)
+    private val ownAnswer = OwnAnswer(context, answer, delivery, facts.id)
     private val placement = Placement(context, route, facts, service, spec)
     private var reservation: Reservation? = null
     private var link: HttpLink? = null
@@ -245,11 +243,7 @@
 
     /** Ends a request that may have run. */
     private fun lost(reason: String) {
-        if (delivery.begun) {
-            answer.cutOff()
-        } else {
-            own(HttpResponseStatus.BAD_GATEWAY, null)
-        }
+        ownAnswer.lost()
         finish("lost reason=\"$reason\"", keepLink = false)
     }
 
@@ -257,8 +251,7 @@
     private fun refuse(reason: String, retryAfterMillis: Long) {
         if (runs > 0 || delivery.begun) return lost(reason)
         context.metrics.refused(reason)
-        val after = (retryAfterMillis * (1 + Random.nextDouble() * RETURN_SPREAD)).toLong()
-        own(HttpResponseStatus.SERVICE_UNAVAILABLE, after.takeIf { it > 0 })
+        val after = ownAnswer.notRun(retryAfterMillis)
         finish("refused reason=$reason retry_after_ms=$after", keepLink = false)
     }
 
@@ -267,18 +260,10 @@
         val sent = link != null
         link?.abandon()
         link = null
-        when {
-            delivery.begun -> answer.cutOff()
-            sent || runs > 0 -> own(HttpResponseStatus.GATEWAY_TIMEOUT, null)
-            else -> own(HttpResponseStatus.SERVICE_UNAVAILABLE, null)
-        }
+        if (sent || runs > 0) ownAnswer.late() else ownAnswer.notRun(retryAfterMillis = 0)
         finish("time_up sent=$sent", keepLink = false)
     }
 
-    private fun own(status: HttpResponseStatus, retryAfterMillis: Long?) {
-        answer.whole(status, context.dialect.own(facts.id, retryAfterMillis), Unpooled.EMPTY_BUFFER)
-    }
-
     private fun finish(outcome: String, keepLink: Boolean) {
         if (over) return
         over = true
@@ -299,8 +284,6 @@
     }
 
     private companion object {
-        /** Callers that are refused together return spread over this part of their wait, and not all at once. */
-        const val RETURN_SPREAD = 0.4
         const val MOST_LOAD_ASKS = 2
         const val MOST_TRIED = 3
         const val MOST_SENDS = 4
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/RequestFacts.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/RequestFacts.kt
@@ -10,7 +10,6 @@
  * @property lastEvent last event of the stream that the caller has; null at the start.
  * @property promptTokens length of the prompt; 0 when unknown.
  * @property outputTokens largest length of the answer; 0 when unknown.
- * @property session name of the session that the prompt belongs to; null without one.
  */
 public data class RequestFacts(
     public val id: String?,
@@ -19,5 +18,4 @@
     public val lastEvent: Long? = null,
     public val promptTokens: Int = 0,
     public val outputTokens: Int = 0,
-    public val session: String? = null,
 )
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerEntry.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerEntry.kt
@@ -11,7 +11,6 @@
  * @property bornMillis Unix time of its start; tells two lives under one id apart.
  * @property slots requests that it works on at once.
  * @property leaving whether it announced that it leaves.
- * @property remainingMillis time after which a leaving server is gone whatever it runs, when it says so.
  * @property adapters versions of the adapters that it holds, by adapter.
  */
 public data class ServerEntry(
@@ -23,7 +22,6 @@
     public val bornMillis: Long,
     public val slots: Int,
     public val leaving: Boolean = false,
-    public val remainingMillis: Long? = null,
     public val models: Set<ModelId> = emptySet(),
     public val adapters: Map<ServedAdapter, Long> = emptyMap(),
 )
