--- a/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/FleetMessage.kt
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/FleetMessage.kt
@@ -30,7 +30,7 @@
      * Asks the holder of the orders for [server] to load [adapter] in at least [version].
      *
      * @property missing whether the server said that it does not hold the adapter.
-     * @property dueMillis time until the adapter must be in place for an answer within the objective; negative when late.
+     * @property dueMillis time until the adapter must be in place for an answer within the objective.
      * @property untilMillis time after which the request does not wait any more.
      */
     @Serializable
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/LoadPace.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/LoadPace.kt
@@ -5,8 +5,8 @@
 /**
  * How long loads of adapters take, learned from those that this node ordered.
  *
- * The weight store serves a number of loads at full speed; beyond it every load takes longer in proportion, so that more
- * loads under way finish no sooner. Loads of adapters that an engine held not long ago do not use the store.
+ * The weight store serves a number of loads at full speed; beyond it every load takes longer in proportion, so that
+ * more loads under way finish no sooner. Loads of adapters that an engine held not long ago do not use the store.
  */
 public class LoadPace {
     private var aloneMillis = PRIOR_MILLIS
