End a request that was kept at the start of a node at its own time

Cause, found by reading: the timer of a request counted its time from the moment at which it was passed on, so that one that was kept while the node read the store ended up to 1.5 s after its route's time. For all other requests the two moments are the same.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -45,7 +45,7 @@
     private var over = false
     private var firstAt = -1L
     private var longestGap = 0L
-    private val timer = context.loop.schedule(::timeUp, endsAt - startedAt, TimeUnit.MILLISECONDS)
+    private val timer = context.loop.schedule(::timeUp, endsAt - context.now(), TimeUnit.MILLISECONDS)
 
     val stream: Boolean = route.kind == RouteKind.STREAM
 
