--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/PublishedState.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/PublishedState.kt
@@ -48,9 +48,12 @@
 
     override fun onServer(entry: ServerEntry, revision: Long) {
         val change = fleet.applyEntry(entry, revision, now())
-        if (change == Fleet.Change.UPDATED || change == Fleet.Change.STALE) return
+        if (change == Fleet.Change.UPDATED) return
         log.write {
+            val known = fleet[entry.id]
             "event=server server=${entry.id} change=$change service=${entry.service} revision=$revision " +
+                "known_revision=${known?.revision} born=${entry.startedAtMillis} sequence=${entry.sequence} " +
+                "known_sequence=${known?.entry?.sequence} " +
                 "address=${entry.host}:${entry.port} adapters=${entry.adapters.size} leaving=${entry.leaving}"
         }
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/TextCall.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/TextCall.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
@@ -25,8 +26,12 @@
 ) {
     /** Outcome of a call. */
     public sealed class Outcome {
-        /** The server responded with [status] and [text]. */
-        public class Response(public val status: Int, public val text: String) : Outcome()
+        /** The server responded with [status], [headers] and [text]. */
+        public class Response(
+            public val status: Int,
+            public val text: String,
+            public val headers: HttpHeaders = EmptyHttpHeaders.INSTANCE,
+        ) : Outcome()
 
         /** No complete response arrived, for [reason]; the server may still have executed the call. */
         public class NoResponse(public val reason: String) : Outcome()
@@ -46,10 +51,12 @@
     private inner class Listener(private val connection: HttpConnection, private val done: (Outcome) -> Unit) :
         ResponseListener {
         private var status = 0
+        private var responseHeaders: HttpHeaders = EmptyHttpHeaders.INSTANCE
         private val text = ByteArrayOutputStream()
 
         override fun onHead(response: HttpResponse): Boolean {
             status = response.status().code()
+            responseHeaders = response.headers()
             return isAnswer(response.headers())
         }
 
@@ -60,7 +67,7 @@
             bytes.readBytes(text, bytes.readableBytes())
         }
 
-        override fun onComplete() = done(Outcome.Response(status, text.toString(Charsets.UTF_8)))
+        override fun onComplete() = done(Outcome.Response(status, text.toString(Charsets.UTF_8), responseHeaders))
 
         override fun onFailure(reason: String) = done(Outcome.NoResponse(reason))
     }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerEntry.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerEntry.kt
@@ -9,6 +9,7 @@
  * What a backend server publishes about itself.
  *
  * @property startedAtMillis Unix time of its start; distinguishes two incarnations under one id.
+ * @property sequence number of entries that this incarnation wrote before; it starts anew with each incarnation.
  * @property requestSlots number of requests that it processes concurrently.
  * @property leaving whether it announced that it leaves.
  * @property adapters resident adapters with their versions.
@@ -21,6 +22,7 @@
     public val zone: ZoneId,
     public val startedAtMillis: Long,
     public val requestSlots: Int,
+    public val sequence: Long = 0,
     public val leaving: Boolean = false,
     public val models: Set<ModelId> = emptySet(),
     public val adapters: Map<ServedAdapter, Long> = emptyMap(),
