Order what the store publishes by era and by its author's count

Cause: what is newer rested on the store's revisions alone, which go back then and are given out again. Entries below the known revision were dropped, a watch whose place the new count had passed missed what lay between, and a removed server came back with the entry of the copy. The class of fault: a count of an outside party is compared across a restart of that party.

Change: one pure decision, Statement.recency. Within an era the revision decides; between eras only the author's own count does (version; start and sequence of an entry). StoreHistory follows the header Store-Era; without it, a count that goes back begins an era. A new era makes a node list everything anew, the desired state first; versions are listed beside the watch and within the store's rate. Servers that the copy lacks are kept for 2.5 s; the entry of a server that was removed is held back until the store removes it or has kept it for 6 s. A quiet watch takes over the pause that followed it, and a watch that did not wait is followed by one.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -107,6 +107,9 @@
     /** Milliseconds on the monotonic clock since this gateway was created. */
     public fun now(): Long = (System.nanoTime() - startedAt) / NANOS_PER_MILLI
 
+    /** Number of nodes of the fleet, as far as known. */
+    public fun nodeCount(): Int = exchange.size(now())
+
     /** Starts to listen and to connect to peers; blocks until the listening sockets are bound. */
     public fun start() {
         readinessEndpoint.start(options.readyHost, options.readyPort)
@@ -169,7 +172,7 @@
         log = log,
         metrics = metrics,
         desiredState = published::desiredState,
-        nodeCount = { exchange.size(now()) },
+        nodeCount = ::nodeCount,
         initializing = { !published.loaded },
         stopping = { stoppingSince?.let { now() - it > ACCEPT_AFTER_STOP_MILLIS } ?: false },
     )
@@ -213,6 +216,7 @@
             log.write { "event=server_lapsed server=$it" }
             pool.removeServer(it)
         }
+        fleet.acceptReturned(now).forEach { log.write { "event=server_returned server=$it" } }
         val running = stoppingSince == null
         if (running) orders.tick(exchange, wallMillis / MILLIS_PER_SECOND)
         loadRequester.failUnheard()
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/PublishedState.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/PublishedState.kt
@@ -7,6 +7,10 @@
 import io.apricotslip.serving.fleet.Fleet
 import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.ServerEntry
+import io.apricotslip.serving.published.AuthorCount
+import io.apricotslip.serving.published.Recency
+import io.apricotslip.serving.published.Statement
+import io.apricotslip.serving.published.StorePosition
 import io.apricotslip.serving.state.DesiredState
 import org.tinylog.kotlin.Logger
 
@@ -26,6 +30,7 @@
     private val onNewVersion: (ServedAdapter, Long) -> Unit,
 ) : StoreListener {
     private var serversListed = false
+    private var desiredStatement: Statement? = null
 
     /** The newest desired state; null until it was read. */
     var desiredState: DesiredState? = null
@@ -35,47 +40,60 @@
     val loaded: Boolean
         get() = desiredState != null && serversListed
 
-    override fun onDesiredState(state: DesiredState, revision: Long) {
+    override fun onDesiredState(state: DesiredState, position: StorePosition) {
         val current = desiredState
-        if (current != null && current.version >= state.version) return
+        val statement = Statement(position, AuthorCount.Version(state.version))
+        val recency = desiredStatement?.let(statement::recency) ?: Recency.NEWER
+        if (recency == Recency.OLDER) {
+            log.write {
+                "event=desired_state_stale version=${state.version} position=$position known=${current?.version}"
+            }
+        }
+        if (recency != Recency.NEWER) return
         desiredState = state
+        desiredStatement = statement
         log.write {
-            "event=desired_state version=${state.version} revision=$revision routes=${state.routes.size} " +
+            "event=desired_state version=${state.version} position=$position routes=${state.routes.size} " +
                 "services=${state.services.size} before=${current?.version}"
         }
         if (loaded) onLoaded()
     }
 
-    override fun onServer(entry: ServerEntry, revision: Long) {
-        val change = fleet.applyEntry(entry, revision, now())
+    override fun onServer(entry: ServerEntry, position: StorePosition) {
+        val change = fleet.applyEntry(entry, position, now())
         if (change == Fleet.Change.UPDATED) return
         log.write {
             val known = fleet[entry.id]
-            "event=server server=${entry.id} change=$change service=${entry.service} revision=$revision " +
-                "known_revision=${known?.revision} born=${entry.startedAtMillis} sequence=${entry.sequence} " +
+            "event=server server=${entry.id} change=$change service=${entry.service} position=$position " +
+                "known_position=${known?.position} born=${entry.startedAtMillis} sequence=${entry.sequence} " +
                 "known_sequence=${known?.entry?.sequence} " +
                 "address=${entry.host}:${entry.port} adapters=${entry.adapters.size} leaving=${entry.leaving}"
         }
     }
 
-    override fun onServerRemoved(id: BackendServerId, revision: Long) {
-        val removed = fleet.applyRemoval(id, now())
-        log.write { "event=server_removed server=$id revision=$revision gone=$removed" }
+    override fun onServerRemoved(id: BackendServerId, position: StorePosition) {
+        val removed = fleet.applyRemoval(id, position, now())
+        log.write { "event=server_removed server=$id position=$position gone=$removed" }
         if (removed) pool.removeServer(id)
     }
 
-    override fun onServersListed(ids: Set<BackendServerId>) {
+    override fun onServersListed(ids: Set<BackendServerId>, position: StorePosition) {
         serversListed = true
-        fleet.applyListing(ids, now()).forEach(pool::removeServer)
+        fleet.applyListing(ids, position, now()).forEach { id ->
+            log.write { "event=server_removed server=$id position=$position gone=true listed=false" }
+            pool.removeServer(id)
+        }
         if (loaded) onLoaded()
     }
 
-    override fun onAdapterVersion(adapter: ServedAdapter, version: Long, revision: Long) {
-        if (!versions.recordDeclared(adapter, version, now())) return
-        log.write { "event=adapter_version adapter=$adapter version=$version revision=$revision" }
+    override fun onAdapterVersion(adapter: ServedAdapter, version: Long, position: StorePosition) {
+        if (!versions.recordDeclared(adapter, version, position, now())) return
+        log.write { "event=adapter_version adapter=$adapter version=$version position=$position" }
         onNewVersion(adapter, version)
     }
 
+    override fun onStoreRestored() = fleet.onStoreRestored(now())
+
     override fun onStoreUnavailable(reason: String) {
         Logger.warn { "event=store_lost reason=\"$reason\"" }
         fleet.onStoreUnavailable()
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/peer/AdapterNamesTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/peer/AdapterNamesTest.kt
@@ -7,6 +7,7 @@
 import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.fleet.ServerEntry
+import io.apricotslip.serving.published.StorePosition
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
@@ -37,7 +38,7 @@
             requestSlots = 8,
             models = models.mapTo(HashSet()) { ModelId(it) },
         ),
-        revision = 1,
+        position = StorePosition(0, 1),
         now = 0,
     )
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/AdapterVersions.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/AdapterVersions.kt
@@ -1,16 +1,25 @@
 package io.apricotslip.serving.fleet
 
+import io.apricotslip.serving.published.AuthorCount
+import io.apricotslip.serving.published.Recency
+import io.apricotslip.serving.published.Statement
+import io.apricotslip.serving.published.StorePosition
+
 /** The declared versions of adapters, and which of them a request needs at a given time. */
 public class AdapterVersions {
-    private class Declared(val version: Long, val declaredAt: Long, val previousVersion: Long)
+    private class Declared(val statement: Statement, val version: Long, val declaredAt: Long, val previousVersion: Long)
 
     private val declared = HashMap<ServedAdapter, Declared>()
 
-    /** Records that [version] was declared; returns whether it is newer than the known version. */
-    public fun recordDeclared(adapter: ServedAdapter, version: Long, now: Long): Boolean {
+    /**
+     * Records that [version] was declared, as the store holds it at [position]; returns whether it is newer than the
+     * known version.
+     */
+    public fun recordDeclared(adapter: ServedAdapter, version: Long, position: StorePosition, now: Long): Boolean {
         val known = declared[adapter]
-        if (known != null && known.version >= version) return false
-        declared[adapter] = Declared(version, now, known?.version ?: 0)
+        val statement = Statement(position, AuthorCount.Version(version))
+        if (known != null && statement.recency(known.statement) != Recency.NEWER) return false
+        declared[adapter] = Declared(statement, version, now, known?.version ?: 0)
         return true
     }
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Fleet.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Fleet.kt
@@ -2,6 +2,10 @@
 
 import io.apricotslip.api.id.BackendServerId
 import io.apricotslip.api.id.ServiceId
+import io.apricotslip.serving.published.AuthorCount
+import io.apricotslip.serving.published.Recency
+import io.apricotslip.serving.published.Statement
+import io.apricotslip.serving.published.StorePosition
 
 /**
  * The backend servers known to this node.
@@ -11,7 +15,8 @@
  */
 public class Fleet {
     private val servers = LinkedHashMap<BackendServerId, Server>()
-    private val lapsed = HashMap<BackendServerId, Long>()
+    private val lapsed = HashMap<BackendServerId, StorePosition>()
+    private val removed = RemovedServers()
     private var storeUnavailable = false
     private var removalsResumeAt = Long.MIN_VALUE / 2
 
@@ -36,37 +41,69 @@
 
     public operator fun get(id: BackendServerId): Server? = servers[id]
 
-    /** Applies an entry that was written at store revision [revision]. */
-    public fun applyEntry(entry: ServerEntry, revision: Long, now: Long): Change {
+    /** Applies an entry that the store holds at [position]. */
+    public fun applyEntry(entry: ServerEntry, position: StorePosition, now: Long): Change {
         val known = servers[entry.id]
-        if (known != null && revision < known.revision) return Change.STALE
+        val statement = Statement(position, entry.count)
+        if (known != null && statement.recency(known.statement) == Recency.OLDER) {
+            keepListed(entry.id, position)
+            return Change.STALE
+        }
+        if (known == null && removed.holdsBack(entry, statement, now)) return Change.STALE
+        return accept(entry, position, now)
+    }
+
+    /** A server that a later era of the store lists, if only with an older entry, is not removed for an earlier one. */
+    private fun keepListed(id: BackendServerId, position: StorePosition) {
+        val removal = lapsed[id] ?: return
+        if (position.era > removal.era) lapsed.remove(id)
+    }
+
+    private fun accept(entry: ServerEntry, position: StorePosition, now: Long): Change {
         lapsed.remove(entry.id)
+        removed.forget(entry.id)
+        val known = servers[entry.id]
         if (known == null ||
             known.entry.startedAtMillis != entry.startedAtMillis ||
             known.entry.service != entry.service
         ) {
-            servers[entry.id] = Server(entry, revision, now)
+            servers[entry.id] = Server(entry, position, now)
             return Change.NEW_LIFE
         }
         val wasLeaving = known.leavingSince != null
-        known.update(entry, revision, now)
+        known.update(entry, position, now)
         return if (entry.leaving && !wasLeaving) Change.LEAVING else Change.UPDATED
     }
 
-    /** Applies the removal of an entry; returns whether the server was removed at once. */
-    public fun applyRemoval(id: BackendServerId, now: Long): Boolean {
-        if (id !in servers) return false
+    /** Applies the removal of an entry at [position]; returns whether the server was removed at once. */
+    public fun applyRemoval(id: BackendServerId, position: StorePosition, now: Long): Boolean {
+        removed.dropReturning(id, position)
+        val known = servers[id] ?: return false
+        if (Statement(position, AuthorCount.Removal).recency(known.statement) == Recency.OLDER) return false
         if (storeUnavailable || now < removalsResumeAt) {
-            lapsed[id] = now
+            lapsed[id] = position
             return false
         }
-        remove(id)
+        remove(id, position)
         return true
     }
 
-    /** Applies a full listing: servers whose id is not in [ids] count as removed. Returns those removed at once. */
-    public fun applyListing(ids: Set<BackendServerId>, now: Long): List<BackendServerId> =
-        servers.keys.filter { it !in ids }.filter { applyRemoval(it, now) }
+    /**
+     * Applies a full listing that began at [position]: servers whose id is not in [ids] count as removed. Returns those
+     * removed at once.
+     */
+    public fun applyListing(ids: Set<BackendServerId>, position: StorePosition, now: Long): List<BackendServerId> {
+        removed.returningIds().filter { it !in ids }.forEach { removed.dropReturning(it, position) }
+        return servers.keys.filter { it !in ids }.filter { applyRemoval(it, position, now) }
+    }
+
+    /**
+     * Records that the store came back from a copy: it may lack the entries of servers that are running, and hold those
+     * of servers that were removed.
+     */
+    public fun onStoreRestored(now: Long) {
+        removalsResumeAt = maxOf(removalsResumeAt, now + REMOVAL_DELAY_MILLIS)
+    }
 
     /** Records that the store does not answer. */
     public fun onStoreUnavailable() {
@@ -77,15 +114,24 @@
     public fun onStoreAvailable(now: Long) {
         if (!storeUnavailable) return
         storeUnavailable = false
-        removalsResumeAt = now + REMOVAL_DELAY_MILLIS
+        removalsResumeAt = maxOf(removalsResumeAt, now + REMOVAL_DELAY_MILLIS)
+    }
+
+    /** Takes back removed servers whose entries came back with the store and have stayed there; returns them. */
+    public fun acceptReturned(now: Long): List<BackendServerId> {
+        if (storeUnavailable || now < removalsResumeAt) return emptyList()
+        return removed.takeReturned(now).map { returned ->
+            accept(returned.entry, returned.position, now)
+            returned.entry.id
+        }
     }
 
     /** Removes servers whose entry disappeared during an outage and did not return; returns them. */
     public fun removeLapsed(now: Long): List<BackendServerId> {
         if (storeUnavailable || now < removalsResumeAt || lapsed.isEmpty()) return emptyList()
-        val removed = lapsed.keys.toList()
-        removed.forEach(::remove)
-        return removed
+        val ended = lapsed.toMap()
+        ended.forEach(::remove)
+        return ended.keys.toList()
     }
 
     /** Servers of [service] that may be given new work at [now]; those in backoff are left out. */
@@ -96,9 +142,9 @@
     public fun serversNotLeaving(service: ServiceId): List<Server> =
         servers.values.filter { it.entry.service == service && it.leavingSince == null }
 
-    private fun remove(id: BackendServerId) {
-        servers.remove(id)
+    private fun remove(id: BackendServerId, position: StorePosition) {
         lapsed.remove(id)
+        servers.remove(id)?.let { removed.record(it.entry, position) }
     }
 
     private companion object {
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
@@ -3,15 +3,17 @@
 import io.apricotslip.api.id.BackendServerId
 import io.apricotslip.api.id.VmId
 import io.apricotslip.serving.limit.RequestLimit
+import io.apricotslip.serving.published.Statement
+import io.apricotslip.serving.published.StorePosition
 
 /** What this node knows about one incarnation of one backend server. */
-public class Server(entry: ServerEntry, revision: Long, now: Long) {
+public class Server(entry: ServerEntry, position: StorePosition, now: Long) {
     /** The entry that the server published last. */
     public var entry: ServerEntry = entry
         private set
 
-    /** Store revision at which [entry] was written. */
-    public var revision: Long = revision
+    /** Where the store holds [entry]. */
+    public var position: StorePosition = position
         private set
 
     /** Time at which [entry] was read. */
@@ -24,6 +26,10 @@
 
     public val id: BackendServerId
         get() = entry.id
+
+    /** [entry] as a statement that others can be compared with. */
+    internal val statement: Statement
+        get() = Statement(position, entry.count)
     public val health: ServerHealth = ServerHealth()
     public val latencyEstimator: EngineLatencyEstimator = EngineLatencyEstimator()
 
@@ -56,11 +62,10 @@
     public val localAdaptersInUse: Set<ServedAdapter>
         get() = localUseCounts.keys
 
-    /** Applies a newer entry of the same incarnation, written at store revision [newRevision]. */
-    public fun update(newer: ServerEntry, newRevision: Long, now: Long) {
-        if (newRevision < revision) return
+    /** Applies a newer entry of the same incarnation, which the store holds at [newPosition]. */
+    public fun update(newer: ServerEntry, newPosition: StorePosition, now: Long) {
         entry = newer
-        revision = newRevision
+        position = newPosition
         entryReadAt = now
         if (newer.leaving && leavingSince == null) leavingSince = now
         if (!newer.leaving) leavingSince = null
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerEntry.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerEntry.kt
@@ -4,6 +4,7 @@
 import io.apricotslip.api.id.ModelId
 import io.apricotslip.api.id.ServiceId
 import io.apricotslip.api.id.ZoneId
+import io.apricotslip.serving.published.AuthorCount
 
 /**
  * What a backend server publishes about itself.
@@ -26,4 +27,8 @@
     public val leaving: Boolean = false,
     public val models: Set<ModelId> = emptySet(),
     public val adapters: Map<ServedAdapter, Long> = emptyMap(),
-)
+) {
+    /** How the server counts its entries. */
+    internal val count: AuthorCount
+        get() = AuthorCount.Entry(startedAtMillis, sequence, leaving)
+}
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/Examples.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/Examples.kt
@@ -8,6 +8,7 @@
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.fleet.ServerEntry
 import io.apricotslip.serving.placement.PlacementRequest
+import io.apricotslip.serving.published.StorePosition
 import io.apricotslip.serving.state.Route
 import io.apricotslip.serving.state.RouteKind
 import io.apricotslip.serving.state.ServiceSpec
@@ -33,6 +34,7 @@
         leaving: Boolean = false,
         startedAtMillis: Long = 1,
         zone: String = "a",
+        sequence: Long = 0,
     ) = ServerEntry(
         id = BackendServerId(id),
         service = service,
@@ -40,13 +42,14 @@
         port = 1,
         zone = ZoneId(zone),
         startedAtMillis = startedAtMillis,
+        sequence = sequence,
         requestSlots = 64,
         leaving = leaving,
         models = setOf(ModelId("m")),
         adapters = adapters.associate { adapter(it) to 1L },
     )
 
-    fun server(id: String, vararg adapters: String) = Server(entry(id, adapters.toList()), revision = 1, now = 0)
+    fun server(id: String, vararg adapters: String) = Server(entry(id, adapters.toList()), StorePosition(0, 1), now = 0)
 
     fun request(adapter: String, budgetMillis: Long = 900, promptTokens: Int = 1_400, targetGapMillis: Long = 250) =
         PlacementRequest(
