Send a request again only on another connection

A server that repeats an earlier refusal on a kept connection could end a request that it runs: callers were told "not run", or the request ran a second time.

Cause: the copy is told apart by the id of the request. A request that was refused with 421 and sent again after its adapter had been loaded went over the same idle connection, where the copy of its own refusal bears the right id.

Change: a request avoids the connections that it was sent on. An answer without an id counts only for a request without one.

The copy of another request's refusal was told apart before as well.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -38,7 +38,7 @@
         server.health.recordBytes(context.now())
         connection.maxSilenceMillis = exchange.silenceLimits.betweenBytes
         val head = context.dialect.parseServerResponse(response)
-        if (requestId != null && head.requestId != requestId) {
+        if (head.requestId != requestId) {
             val other = head.requestId
             context.log.write { "event=foreign_answer request=$requestId server=${server.id} answers=$other" }
             return false
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -135,8 +135,9 @@
         val budget = context.rules.retryBudget(service)
         if (counts.dispatches > 0 && !budget.tryAcquire(context.now(), context.nodeCount())) return endWithoutRetry()
         val reserved = reservation
-        val earlyExpiry = route.kind == RouteKind.AT_MOST_ONCE
-        context.servers.pool.acquire(server, placement.maxConnections(), earlyExpiry) { acquired, failure ->
+        val early = route.kind == RouteKind.AT_MOST_ONCE
+        val used = triedServers.usedConnections
+        context.servers.pool.acquire(server, placement.maxConnections(), early, used) { acquired, failure ->
             when {
                 finished || reservation !== reserved -> acquired?.abandon()
                 acquired == null -> onUnreachable(server, failure.orEmpty())
@@ -160,7 +161,7 @@
             acquired.abandon()
             return refuse("no_time", 0)
         }
-        connection = acquired
+        connection = acquired.also(triedServers::recordConnection)
         acquired.abandonOnSilence = route.kind != RouteKind.AT_MOST_ONCE
         acquired.maxSilenceMillis = silenceLimits.beforeFirstByte(estimateMillis)
         counts.dispatches++
@@ -221,10 +222,7 @@
     }
 
     /** Finishes the exchange after the complete response was forwarded. */
-    fun onResponseForwarded(outcome: String) {
-        connection = null
-        finish(outcome, keepConnection = true)
-    }
+    fun onResponseForwarded(outcome: String) = finish(outcome, keepConnection = true)
 
     /** Records the first byte or event for the caller. */
     fun onFirstEvent(millisSinceSend: Long, pendingPromptTokensBefore: Long, server: Server) {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/TriedServers.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/TriedServers.kt
@@ -1,12 +1,14 @@
 package io.apricotslip.gateway.exchange
 
 import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.gateway.server.HttpConnection
 import io.apricotslip.gateway.server.ServerConnectionPool
 import io.apricotslip.serving.fleet.Server
 
 /** The backend servers that one request was sent to without success, and why they are not tried again. */
 internal class TriedServers(private val metadata: RequestMetadata) {
     private val ids = HashSet<BackendServerId>()
+    private val connections = HashSet<HttpConnection>()
 
     /** Servers that the request is not sent to again. */
     val excluded: Set<BackendServerId>
@@ -20,6 +22,17 @@
     var missingAdapter: Server? = null
         private set
 
+    /**
+     * Connections that carried the request. A server may repeat its earlier answer there, which bears the id of the
+     * request and cannot be told from the next one.
+     */
+    val usedConnections: Set<HttpConnection>
+        get() = connections
+
+    fun recordConnection(connection: HttpConnection) {
+        connections.add(connection)
+    }
+
     fun exclude(server: Server) {
         ids.add(server.id)
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
@@ -32,15 +32,18 @@
      * failure. The pool has at most [limit] connections to the server.
      *
      * @param earlyExpiry whether an idle connection is reused only well before the server may close it.
+     * @param avoid connections that are not reused.
      */
     public fun acquire(
         server: Server,
         limit: Int,
         earlyExpiry: Boolean,
+        avoid: Set<HttpConnection> = emptySet(),
         done: (connection: HttpConnection?, failure: String?) -> Unit,
     ) {
         val connections = connectionsTo(server)
-        val reused = takeIdle(connections, if (earlyExpiry) EARLY_REUSE_TIMEOUT_SHARE else REUSE_TIMEOUT_SHARE)
+        val timeoutShare = if (earlyExpiry) EARLY_REUSE_TIMEOUT_SHARE else REUSE_TIMEOUT_SHARE
+        val reused = takeIdle(connections, timeoutShare, avoid)
         if (reused != null) {
             connections.busy.add(reused)
             return done(reused, null)
@@ -79,14 +82,17 @@
         return ServerConnections(server.entry.startedAtMillis).also { connectionsByServer[server.id] = it }
     }
 
-    private fun takeIdle(connections: ServerConnections, timeoutShare: Double): HttpConnection? {
-        while (connections.idle.isNotEmpty()) {
-            val newest = connections.idle.last()
+    private fun takeIdle(
+        connections: ServerConnections,
+        timeoutShare: Double,
+        avoid: Set<HttpConnection>,
+    ): HttpConnection? {
+        while (true) {
+            val newest = connections.idle.lastOrNull { it.connection !in avoid } ?: return null
             if (isExpired(connections, newest, timeoutShare)) return null
-            connections.idle.removeLast()
+            connections.idle.remove(newest)
             if (newest.connection.open) return newest.connection
         }
-        return null
     }
 
     private fun isExpired(connections: ServerConnections, entry: IdleConnection, timeoutShare: Double): Boolean {
