Do not pass on a refusal that its server does not state

A server's 408, 429 or 503 without the statement that it did not execute the request was passed on as it was. Callers read these statuses as "not executed" and send the request again, though it may have run (REFUSED).

Cause: any signed failure was forwarded. Found while looking for the cause of repeated refusals elsewhere.

Change: such an answer counts as an unknown outcome: the caller gets 502, or the request is repeated where its route allows that.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -46,7 +46,7 @@
         recordLimit(head)
         when {
             head.notExecuted || head.misdirected -> state = State.Discarding(head)
-            !head.signed -> state = State.Discarding(head)
+            !head.signed || head.impliesNotExecuted -> state = State.Discarding(head)
             head.success -> forward(response)
             forwarder.started -> state = State.Discarding(head)
             else -> forward(response)
@@ -130,7 +130,7 @@
 
     private fun onDiscardedResponseComplete(head: ServerResponseMetadata) {
         if (head.notExecuted || head.misdirected) return exchange.onNotExecuted(server, head)
-        exchange.onOutcomeUnknown(server, "unsigned ${head.status}")
+        exchange.onOutcomeUnknown(server, "no usable answer: ${head.status} signed=${head.signed}")
     }
 
     private fun recordEvent() {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
@@ -23,4 +23,13 @@
     /** Whether [status] is in the 2xx range. */
     public val success: Boolean
         get() = status in 200..299
+
+    /** Whether callers would read [status] as "not executed" although the server does not state that. */
+    public val impliesNotExecuted: Boolean
+        get() = !notExecuted && !misdirected && status in NOT_EXECUTED_STATUSES
+
+    private companion object {
+        /** Request timeout, too many requests, service unavailable. */
+        val NOT_EXECUTED_STATUSES = setOf(408, 429, 503)
+    }
 }
