Continue a stream only with a response of the same content type

Cause: on a resume only the status and the signature were looked at; blank lines of the text ended "events".

Change: a response of another content type is discarded, and the stream goes on at the next server or is broken off.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -47,7 +47,7 @@
         when {
             head.notExecuted || head.misdirected -> state = State.Discarding(head)
             !head.signed || head.impliesNotExecuted -> state = State.Discarding(head)
-            head.success -> forward(response)
+            head.success && forwarder.canContinueWith(response) -> forward(response)
             forwarder.started -> state = State.Discarding(head)
             else -> forward(response)
         }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ResponseForwarder.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ResponseForwarder.kt
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -26,6 +27,7 @@
     private val splitter = EventSplitter()
     private var status: HttpResponseStatus = HttpResponseStatus.OK
     private var headers: HttpHeaders? = null
+    private var contentType: String? = null
     private var buffered: CompositeByteBuf? = null
     private var connection: HttpConnection? = null
 
@@ -53,11 +55,16 @@
     val forwardsEvents: Boolean
         get() = route.kind == RouteKind.STREAM && success
 
+    /** Whether a response with [head] can go on where the response that was begun broke off: it has the same type. */
+    fun canContinueWith(head: HttpResponse): Boolean =
+        !started || head.headers().get(HttpHeaderNames.CONTENT_TYPE) == contentType
+
     /** Handles a response head; when a stream resumes on another server, the head of the first server is kept. */
     fun onHead(head: HttpResponse, from: HttpConnection) {
         connection = from
         if (started) return
         status = head.status()
+        contentType = head.headers().get(HttpHeaderNames.CONTENT_TYPE)
         headers = context.dialect.callerResponseHeaders(head)
     }
 
