Tell other nodes how far the store was read

A node whose watch was never answered learned of a change only when the watch's time had passed, 3.2 s or more after it was sent (configApplyMs is 2 s). A node that started from a copy of the store served an older desired state beside nodes that had replaced it, until the operators had written the newer one again.

Cause: each node knew of the store only what its own connection told it.

Change: reports and digests carry the place up to which the store was read and the version of the desired state (three numbers, merged over the hubs). A node is not ready in its first 5 s while others run a newer desired state; requests wait or are refused with 503. No calls are added.

--- a/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/FleetMessage.kt
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/FleetMessage.kt
@@ -25,6 +25,7 @@
      * @property crashes what the sender knows about crashes of backend servers; null when there is nothing to tell.
      * @property requests requests that these nodes received within the last seconds.
      * @property limits limits that backend servers named lately.
+     * @property store how far these nodes have read the store; null when the sender has not read it.
      */
     @Serializable
     @SerialName("st")
@@ -41,6 +42,7 @@
         @SerialName("k") public val crashes: CrashEvidence? = null,
         @SerialName("q") public val requests: Int = 0,
         @SerialName("l") public val limits: List<ServerLimit> = emptyList(),
+        @SerialName("p") public val store: StoreProgress? = null,
     ) : FleetMessage()
 
     /**
@@ -53,6 +55,7 @@
      * @property crashes what the hub knows about crashes of backend servers; null when there is nothing to tell.
      * @property requests requests that all nodes received within the last seconds.
      * @property limits limits that backend servers named lately.
+     * @property store how far the nodes have read the store; null when the hub knows of none that has.
      */
     @Serializable
     @SerialName("dg")
@@ -64,6 +67,7 @@
         @SerialName("k") public val crashes: CrashEvidence? = null,
         @SerialName("q") public val requests: Int = 0,
         @SerialName("l") public val limits: List<ServerLimit> = emptyList(),
+        @SerialName("p") public val store: StoreProgress? = null,
     ) : FleetMessage()
 
     /** Tells a node that reported to the wrong node which hubs the sender knows. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -62,14 +62,15 @@
     private val versions = AdapterVersions()
     private val quarantine = PromptQuarantine()
     private val traffic = TrafficMeter()
-    private val reports = PeerReports(fleet, quarantine, traffic) { orders }
+    private val reports = PeerReports(fleet, quarantine, traffic, ::published) { orders }
     private val exchange = FleetExchange(options.self, options.zone, options.weight, options.seeds, reports)
     private val pauses = PauseDetector(options.orderLeaseMillis / 2)
     private val claims = OrderClaims(options.self, options.nodeNumber, options.orderLeaseMillis, now())
     private val connector = Connector(loop)
     private val pool = ServerConnectionPool(connector, ::now)
     private val crashWatch = ServerCrashWatch(fleet, quarantine, log, metrics, ::now, connector::probe)
-    private val published = PublishedState(fleet, versions, pool, log, ::now, ::onStateLoaded, ::onAdapterVersion)
+    private val published: PublishedState =
+        PublishedState(fleet, versions, pool, log, ::now, ::onStateLoaded, ::onAdapterVersion)
     private val loadEstimator = AdapterLoadEstimator()
     private val retryBudgets = HashMap<ServiceId, RetryBudget>()
     private val returnSchedules = HashMap<ServiceId, ReturnSchedule>()
@@ -107,6 +108,11 @@
     /** Milliseconds on the monotonic clock since this gateway was created. */
     public fun now(): Long = (System.nanoTime() - startedAt) / NANOS_PER_MILLI
 
+    /** Tells [follower] how far other nodes have read the store, and them how far it has. */
+    public fun follow(follower: StoreFollower) {
+        loop.execute { published.follower = follower }
+    }
+
     /** Number of nodes of the fleet, as far as known. */
     public fun nodeCount(): Int = exchange.size(now())
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/PublishedState.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/PublishedState.kt
@@ -1,6 +1,7 @@
 package io.apricotslip.gateway
 
 import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.api.peer.StoreProgress
 import io.apricotslip.gateway.observe.DecisionLog
 import io.apricotslip.gateway.server.ServerConnectionPool
 import io.apricotslip.serving.fleet.AdapterVersions
@@ -10,6 +11,7 @@
 import io.apricotslip.serving.published.AuthorCount
 import io.apricotslip.serving.published.Recency
 import io.apricotslip.serving.published.Statement
+import io.apricotslip.serving.published.StoreHistory
 import io.apricotslip.serving.published.StorePosition
 import io.apricotslip.serving.state.DesiredState
 import org.tinylog.kotlin.Logger
@@ -30,15 +32,38 @@
     private val onNewVersion: (ServedAdapter, Long) -> Unit,
 ) : StoreListener {
     private var serversListed = false
+    private var versionElsewhere = 0L
+
+    /** The reader of the store; null until it was started. */
+    var follower: StoreFollower? = null
     private var desiredStatement: Statement? = null
 
     /** The newest desired state; null until it was read. */
     var desiredState: DesiredState? = null
         private set
 
-    /** Whether the desired state and the servers were read. */
+    /**
+     * Whether the desired state and the servers were read. A node that has just started waits for the desired state
+     * that other nodes run: the store may have come back from a copy that holds an older one.
+     */
     val loaded: Boolean
-        get() = desiredState != null && serversListed
+        get() {
+            val state = desiredState ?: return false
+            return serversListed && (state.version >= versionElsewhere || now() > CATCH_UP_MILLIS)
+        }
+
+    /** How far this node has read the store; null before it has a desired state. */
+    fun progress(): StoreProgress? {
+        val state = desiredState ?: return null
+        val newest = follower?.newest ?: return null
+        return StoreProgress(newest.era, newest.revision, state.version)
+    }
+
+    /** Records how far other nodes have read the store. */
+    fun onReadElsewhere(progress: StoreProgress) {
+        versionElsewhere = maxOf(versionElsewhere, progress.stateVersion)
+        follower?.onReadElsewhere(StoreHistory.Place(progress.era, progress.revision))
+    }
 
     override fun onDesiredState(state: DesiredState, position: StorePosition) {
         val current = desiredState
@@ -103,4 +128,9 @@
         Logger.info { "event=store_regained" }
         fleet.onStoreAvailable(now())
     }
+
+    private companion object {
+        /** Several times what operators take to write again what a copy of the store lacks. */
+        const val CATCH_UP_MILLIS = 5_000L
+    }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/peer/PeerReports.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/peer/PeerReports.kt
@@ -4,6 +4,8 @@
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.peer.CrashEvidence
 import io.apricotslip.api.peer.FleetMessage
+import io.apricotslip.api.peer.StoreProgress
+import io.apricotslip.gateway.PublishedState
 import io.apricotslip.gateway.order.OrderCoordinator
 import io.apricotslip.serving.crash.PromptQuarantine
 import io.apricotslip.serving.fleet.AdapterDemand
@@ -19,6 +21,7 @@
     private val fleet: Fleet,
     private val quarantine: PromptQuarantine,
     private val traffic: TrafficMeter,
+    private val published: () -> PublishedState,
     private val orders: () -> OrderCoordinator,
 ) : FleetExchangeState {
     private val serversBySource = HashMap<VmId, Set<BackendServerId>>()
@@ -105,6 +108,10 @@
         }
     }
 
+    override fun storeProgress(): StoreProgress? = published().progress()
+
+    override fun applyStoreProgress(progress: StoreProgress, now: Long) = published().onReadElsewhere(progress)
+
     override fun crashEvidence(now: Long): CrashEvidence? = quarantine.evidence(now)
 
     override fun applyCrashEvidence(evidence: CrashEvidence, now: Long) = quarantine.merge(evidence, now)
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchange.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchange.kt
@@ -138,6 +138,7 @@
         directory.recordHeard(peer, report.zone, report.weight, now)
         report.crashes?.let { state.applyCrashEvidence(it, now) }
         state.applyServerLimits(report.limits, now)
+        report.store?.let { state.applyStoreProgress(it, now) }
         if (!report.hub) lastAddressedAt = now
         if (!isHub) return redirect(peer, now)
         peers[peer] = HeardReport(report, now)
@@ -153,6 +154,7 @@
         homeHeardAt = now
         digest.crashes?.let { state.applyCrashEvidence(it, now) }
         state.applyServerLimits(digest.limits, now)
+        digest.store?.let { state.applyStoreProgress(it, now) }
         state.recordFleetRequests(digest.nodes, digest.requests, now)
         digestNodes = digest.nodes
         state.applyTotals(peer, digest.totals, lastSentUses, now)
@@ -181,7 +183,7 @@
         }
         if (receivers.isNotEmpty()) out += Outgoing(receivers, messages.cellReport(nodes.map { it.value }, hubs, now))
         if (nodes.isEmpty()) return
-        val digest = messages.digest(size(now), fleetRequests(now), hubs, now)
+        val digest = messages.digest(size(now), fleetRequests(now), peers.values, hubs, now)
         out += Outgoing(nodes.map { it.key }, digest)
     }
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchangeState.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchangeState.kt
@@ -6,6 +6,7 @@
 import io.apricotslip.api.peer.FleetMessage.ServerClaim
 import io.apricotslip.api.peer.FleetMessage.ServerTotal
 import io.apricotslip.api.peer.FleetMessage.ServerUse
+import io.apricotslip.api.peer.StoreProgress
 
 /** What a [FleetExchange] sends to other nodes, and where it puts what they send. */
 public interface FleetExchangeState {
@@ -48,6 +49,12 @@
     /** Applies limits that another node passed on. */
     public fun applyServerLimits(limits: List<FleetMessage.ServerLimit>, now: Long)
 
+    /** How far this node has read the store; null when it has not read it. */
+    public fun storeProgress(): StoreProgress?
+
+    /** Applies how far other nodes have read the store. */
+    public fun applyStoreProgress(progress: StoreProgress, now: Long)
+
     /** Merges the crash evidence of another node. */
     public fun applyCrashEvidence(evidence: CrashEvidence, now: Long)
 }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetMessages.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetMessages.kt
@@ -5,6 +5,7 @@
 import io.apricotslip.api.peer.FleetMessage.HubEntry
 import io.apricotslip.api.peer.FleetMessage.Report
 import io.apricotslip.api.peer.FleetMessage.ServerUse
+import io.apricotslip.api.peer.StoreProgress
 
 /** A report of another node and when it was heard. */
 internal class HeardReport(val report: Report, val heardAt: Long)
@@ -26,6 +27,7 @@
         crashes = state.crashEvidence(now),
         requests = state.ownRequests(now),
         limits = state.serverLimits(now),
+        store = state.storeProgress(),
     )
 
     /** The report of this hub and of [nodes], which report to it. */
@@ -46,11 +48,19 @@
             crashes = state.crashEvidence(now),
             requests = state.ownRequests(now) + nodes.sumOf { it.report.requests },
             limits = state.serverLimits(now),
+            store = newestProgress(nodes),
         )
     }
 
-    /** The digest of a hub: [nodes] nodes of the fleet received [requests] requests. */
-    fun digest(nodes: Int, requests: Int, hubs: List<HubEntry>, now: Long) = Digest(
+    private fun newestProgress(reports: Collection<HeardReport>): StoreProgress? =
+        (reports.mapNotNull { it.report.store } + listOfNotNull(state.storeProgress()))
+            .reduceOrNull(StoreProgress::merge)
+
+    /**
+     * The digest of a hub: [nodes] nodes of the fleet received [requests] requests; [reports] are those of all its
+     * peers.
+     */
+    fun digest(nodes: Int, requests: Int, reports: Collection<HeardReport>, hubs: List<HubEntry>, now: Long) = Digest(
         nodes = nodes,
         totals = state.totals(now),
         claims = state.knownClaims(now),
@@ -58,6 +68,7 @@
         crashes = state.crashEvidence(now),
         requests = requests,
         limits = state.serverLimits(now),
+        store = newestProgress(reports),
     )
 
     /** Withdraws the reports of this node. */
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
@@ -100,6 +100,15 @@
         expectThat(rates.last().second).isGreaterThan(0)
     }
 
+    @TestFactory
+    fun `what one node has read of the store is known to all within a second`() = sizes.map { size ->
+        DynamicTest.dynamicTest("${size.nodes} nodes") {
+            val fleet = converged(size, seed = 1).apply { runUntil(now + 4_000) }
+            fleet.nodes.last().readRevision = 7
+            expectThat(fleet.timeUntil(1_000) { fleet.nodes.dropLast(1).all { it.heardRevision == 7L } }).isNotNull()
+        }
+    }
+
     @TestFactory
     fun `a fleet that was split for longer than nodes are remembered finds together through the seeds`() =
         (1..4).map { seed ->
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/SimulatedFleet.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/SimulatedFleet.kt
@@ -6,6 +6,7 @@
 import io.apricotslip.api.peer.CrashEvidence
 import io.apricotslip.api.peer.FleetMessage
 import io.apricotslip.api.peer.FleetMessage.ServerUse
+import io.apricotslip.api.peer.StoreProgress
 import io.apricotslip.serving.crash.PromptQuarantine
 import io.apricotslip.serving.limit.RequestLimit
 import io.apricotslip.serving.limit.TrafficMeter
@@ -206,6 +207,10 @@
     private fun send(messages: List<FleetExchange.Outgoing>) =
         messages.forEach { out -> out.to.forEach { fleet.send(this, it, out.message) } }
 
+    /** Revision up to which this node has read the store, and the highest that it heard of. */
+    var readRevision = 0L
+    var heardRevision = 0L
+
     override fun ownUses() = listOf(ServerUse(servers[number % servers.size], 1, 0, 0, listOf("m/a$number")))
 
     override fun ownClaims(now: Long) = claims.heldServers().map { claimOf(it, now) }
@@ -241,6 +246,12 @@
     override fun applyServerLimits(limits: List<FleetMessage.ServerLimit>, now: Long) =
         limits.forEach { limitOf(it.server).recordStatement(it.perSecond, now - it.ageMillis, now) }
 
+    override fun storeProgress() = StoreProgress(1, readRevision, 0)
+
+    override fun applyStoreProgress(progress: StoreProgress, now: Long) {
+        heardRevision = maxOf(heardRevision, progress.revision)
+    }
+
     override fun crashEvidence(now: Long) = quarantine.evidence(now)
 
     override fun applyCrashEvidence(evidence: CrashEvidence, now: Long) = quarantine.merge(evidence, now)
