Close a connection with an unparsed request only after a pause

Cause: the port closed the connection with bytes unread, which resets it, and the refusal in the caller's buffers may be lost. Reproduced by a caller that goes on sending: fails on the code before with "Broken pipe".

Change: after a request that cannot be parsed, only the sending side is closed; what still comes is dropped for 500 ms (LingeringClose). The port of the gateway did that already.

--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerServer.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/CallerServer.kt
@@ -17,6 +17,7 @@
 import org.tinylog.kotlin.Logger
 import reactor.core.publisher.Mono
 import reactor.netty.DisposableServer
+import reactor.netty.NettyPipeline
 import reactor.netty.http.server.HttpServer
 import reactor.netty.http.server.HttpServerRequest
 import reactor.netty.http.server.HttpServerResponse
@@ -43,6 +44,9 @@
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .idleTimeout(Duration.ofMillis(settings.idleMillis))
         .httpRequestDecoder { it.maxHeaderSize(settings.maxHeaderBytes) }
+        .doOnChannelInit { _, channel, _ ->
+            channel.pipeline().addAfter(NettyPipeline.HttpCodec, LingeringClose::class.simpleName, LingeringClose())
+        }
         .route(::addRoutes)
         .bindNow(BIND_TIMEOUT)
 
--- a/apricotslip-core/src/test/kotlin/io/apricotslip/core/http/CallerPortTest.kt
+++ b/apricotslip-core/src/test/kotlin/io/apricotslip/core/http/CallerPortTest.kt
@@ -133,6 +133,22 @@
             expectHealthy()
         }
 
+        // Guards against a refusal that is lost because the connection is reset with bytes unread.
+        @Test
+        fun `a refusal of headers over the limit arrives while the caller goes on sending`() {
+            repeat(20) {
+                Socket(LOOPBACK, ports.callers).use { socket ->
+                    socket.getOutputStream().write("POST /v1/completions HTTP/1.1\r\nHost: h\r\nX-Long: ".toByteArray())
+                    repeat(20) {
+                        socket.getOutputStream().write(ByteArray(5_000) { 'x'.code.toByte() })
+                        Thread.sleep(1)
+                    }
+                    val status = socket.getInputStream().bufferedReader().readLine()
+                    expectThat(status).contains("431")
+                }
+            }
+        }
+
         @ParameterizedTest
         @CsvSource("GARBAGE", "'POST /v1/completions HTTP/1.1\r\nContent-Length: -5\r\n\r\n'", "'\u0000\u0001\u0002'")
         fun `bytes that are not HTTP close only their own connection`(bytes: String) {
