--- a/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/LingeringClose.kt
+++ b/apricotslip-core/src/main/kotlin/io/apricotslip/core/http/LingeringClose.kt
@@ -26,8 +26,9 @@
     }
 
     override fun close(ctx: ChannelHandlerContext, promise: ChannelPromise) {
-        val channel = ctx.channel()
-        if (!unparsed || lingering || channel !is DuplexChannel || !channel.isActive) {
+        val channel = ctx.channel() as? DuplexChannel
+        val lingers = unparsed && !lingering
+        if (channel == null || !lingers || !channel.isActive) {
             ctx.close(promise)
             return
         }
