Stop sending requests to a server that says in an answer that it leaves

Cause: only the entry in the store was read. Answers bear the same statement, and while the store is away they are its only source.

Change: what answers say of a server is kept for its incarnation (ServerAnnouncements), also while its entry is removed and comes back. Admission is one decision over entry and answers; it is asked when a server is selected and again right before a request is sent (SendCheck), and loads for servers that are closed fail at once. Answers to orders and reports count as well.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Dialect.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Dialect.kt
@@ -26,8 +26,8 @@
      */
     public fun serverRequestHeaders(caller: HttpHeaders, send: ServerRequestMetadata): HttpHeaders
 
-    /** Parses the status and headers of a backend server's response. */
-    public fun parseServerResponse(response: HttpResponse): ServerResponseMetadata
+    /** Parses the status and headers of a backend server's response, to a request or to a call of this node. */
+    public fun parseServerResponse(status: Int, headers: HttpHeaders): ServerResponseMetadata
 
     /** Returns the headers of a backend server's response that are forwarded to the caller. */
     public fun callerResponseHeaders(response: HttpResponse): HttpHeaders
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -7,6 +7,7 @@
 import io.apricotslip.gateway.caller.CallerHandler
 import io.apricotslip.gateway.caller.CallerResponse
 import io.apricotslip.gateway.caller.CallerServer
+import io.apricotslip.gateway.exchange.AnnouncementRecorder
 import io.apricotslip.gateway.exchange.ExchangeContext
 import io.apricotslip.gateway.exchange.ExchangeRouter
 import io.apricotslip.gateway.exchange.ServerCrashWatch
@@ -69,6 +70,7 @@
     private val connector = Connector(loop)
     private val pool = ServerConnectionPool(connector, ::now)
     private val crashWatch = ServerCrashWatch(fleet, quarantine, log, metrics, ::now, connector::probe)
+    private val announcements = AnnouncementRecorder(log, ::now)
     private val published: PublishedState =
         PublishedState(fleet, versions, pool, log, ::now, ::onStateLoaded, ::onAdapterVersion)
     private val loadEstimator = AdapterLoadEstimator()
@@ -165,7 +167,7 @@
         loop = loop,
         now = ::now,
         dialect = dialect,
-        servers = ExchangeContext.Servers(fleet, pool, loadRequester::request, crashWatch),
+        servers = ExchangeContext.Servers(fleet, pool, loadRequester::request, crashWatch, announcements),
         rules = ExchangeContext.Rules(
             engines = EngineSelector(options.zone, loadEstimator, ::canLoadAdapters),
             plain = PlainServerSelector(options.zone),
@@ -187,7 +189,7 @@
         self = options.self,
         loop = loop,
         now = ::now,
-        sender = OrderSender(loop, pool, dialect),
+        sender = OrderSender(loop, pool, dialect, announcements),
         log = log,
         metrics = metrics,
         newestVersion = versions::newest,
@@ -225,7 +227,7 @@
         fleet.acceptReturned(now).forEach { log.write { "event=server_returned server=$it" } }
         val running = stoppingSince == null
         if (running) orders.tick(exchange, wallMillis / MILLIS_PER_SECOND)
-        loadRequester.failUnheard()
+        loadRequester.failHopeless()
         peerLinks.update(exchange.links(now))
         if (crashWatch.tick(now)) exchanges.endQuarantined()
         callers.closeExpired()
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -37,13 +37,13 @@
     override fun onHead(response: HttpResponse): Boolean {
         server.health.recordBytes(context.now())
         connection.maxSilenceMillis = exchange.silenceLimits.betweenBytes
-        val head = context.dialect.parseServerResponse(response)
+        val head = context.dialect.parseServerResponse(response.status().code(), response.headers())
         if (head.requestId != requestId) {
             val other = head.requestId
             context.log.write { "event=foreign_answer request=$requestId server=${server.id} answers=$other" }
             return false
         }
-        recordLimit(head)
+        context.announcements.record(server, head, requestId)
         when {
             head.notExecuted || head.misdirected -> state = State.Discarding(head)
             !head.signed || head.impliesNotExecuted -> state = State.Discarding(head)
@@ -54,15 +54,6 @@
         return true
     }
 
-    /** Applies the limit that the server names; an answer of the server itself that names none lifts it. */
-    private fun recordLimit(head: ServerResponseMetadata) {
-        val limit = head.maxRequestsPerSecond
-        val ofOther = head.serverId != null && head.serverId != server.id.value
-        if (ofOther || (limit == null && !head.signed)) return
-        if (!server.requestLimit.recordStatement(limit, context.now(), context.now())) return
-        context.log.write { "event=limit_changed request=$requestId server=${server.id} per_second=$limit" }
-    }
-
     override fun onBody(bytes: ByteBuf) {
         server.health.recordBytes(context.now())
         if (state != State.Forwarding) return discard(bytes)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/AttemptCounts.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/AttemptCounts.kt
@@ -14,10 +14,23 @@
     /** Whether the request waited because its prompt was suspected. */
     var suspended = false
 
+    /** Whether no more loads are requested for the request. */
+    val loadsExhausted: Boolean
+        get() = loadRequests >= MAX_LOAD_REQUESTS
+
+    /** Whether the request is not sent again, whatever its route allows. */
+    val retriesExhausted: Boolean
+        get() = dispatches > MAX_RETRIES
+
     /** The progress of the request, whose response to the caller has [started] or not. */
     fun progress(started: Boolean): Placement.Progress = when {
         started || executions > 0 -> Placement.Progress.STARTED
         suspended || loadRequests > 0 || dispatches > 0 -> Placement.Progress.ACCEPTED
         else -> Placement.Progress.NEW
     }
+
+    private companion object {
+        const val MAX_LOAD_REQUESTS = 2
+        const val MAX_RETRIES = 4
+    }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -37,6 +37,7 @@
     private val forwarder = ResponseForwarder(context, response, route, metadata)
     private val gatewayResponse = GatewayResponse(context, response, forwarder, metadata.id)
     val promptGate = PromptGate(context, metadata.sharedParts)
+    private val sendCheck = SendCheck(context, promptGate)
     private val placement = Placement(context, route, metadata, service, spec)
     val silenceLimits = SilenceLimits(route.targetLatencyMillis, route.targetGapMillis)
     private var reservation: Reservation? = null
@@ -101,7 +102,7 @@
     private fun loadAdapter(decision: PlacementDecision.LoadAdapter) {
         val server = decision.server
         val adapter = metadata.adapter ?: return
-        if (counts.loadRequests >= MAX_LOAD_REQUESTS) return refuse("load_failed", RETRY_AFTER_MILLIS)
+        if (counts.loadsExhausted) return refuse("load_failed", RETRY_AFTER_MILLIS)
         val loadRequest = placement.loadRequest(adapter, decision.queueMillis, timing, progress, context.now())
         counts.loadRequests++
         val reserved = reserve(server)
@@ -128,10 +129,8 @@
     }
 
     private fun dispatch(server: Server, estimateMillis: Long) {
-        if (promptGate.standing() != PromptStanding.Clear) {
-            reservation?.release()
-            return selectServer()
-        }
+        val obstacle = sendCheck.obstacle(server)
+        if (obstacle != null) return selectOther(server, obstacle)
         val budget = context.rules.retryBudget(service)
         if (counts.dispatches > 0 && !budget.tryAcquire(context.now(), context.nodeCount())) return endWithoutRetry()
         val reserved = reservation
@@ -146,6 +145,13 @@
         }
     }
 
+    /** Selects again because [server] may not be sent the request any more, for [obstacle]. */
+    private fun selectOther(server: Server, obstacle: String) {
+        log("not_sent", "server=${server.id} reason=$obstacle")
+        reservation?.release()
+        selectServer()
+    }
+
     private fun onUnreachable(server: Server, failure: String) {
         log("unreachable", "server=${server.id} reason=\"$failure\"")
         triedServers.recordUnreachable(server, failure, context.now())
@@ -156,10 +162,11 @@
 
     private fun sendRequest(server: Server, acquired: HttpConnection, estimateMillis: Long) {
         val now = context.now()
-        val budgetMillis = deadlineAt - now - RESPONSE_MARGIN_MILLIS
-        if (budgetMillis <= 0) {
+        val budgetMillis = timing.serverBudgetMillis(now)
+        val obstacle = sendCheck.obstacle(server)
+        if (obstacle != null || budgetMillis <= 0) {
             acquired.abandon()
-            return refuse("no_time", 0)
+            return if (obstacle != null) selectOther(server, obstacle) else refuse("no_time", 0)
         }
         connection = acquired.also(triedServers::recordConnection)
         acquired.abandonOnSilence = route.kind != RouteKind.AT_MOST_ONCE
@@ -231,7 +238,7 @@
     }
 
     private fun retry(reason: String) {
-        if (counts.dispatches > MAX_RETRIES) return endWithoutRetry()
+        if (counts.retriesExhausted) return endWithoutRetry()
         context.metrics.recordRetry(reason)
         selectServer()
     }
@@ -283,16 +290,10 @@
         context.log.write { "event=$event request=${metadata.id} route=${route.name} $detail" }
 
     private companion object {
-        const val MAX_LOAD_REQUESTS = 2
-        const val MAX_RETRIES = 4
-
         /** Interval of checks whether a suspicion was dispelled, which an answer elsewhere may do at any time. */
         const val SUSPENDED_POLL_MILLIS = 100L
 
         /** The duration of a few adapter loads. */
         const val RETRY_AFTER_MILLIS = 400L
-
-        /** Time for a response that a server sends at its deadline to arrive before this node ends the request. */
-        const val RESPONSE_MARGIN_MILLIS = 30L
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
@@ -32,12 +32,16 @@
     val initializing: () -> Boolean,
     val stopping: () -> Boolean,
 ) {
+    val announcements: AnnouncementRecorder
+        get() = servers.announcements
+
     /** The backend servers, the connections to them and the means to load adapters on them. */
     class Servers(
         val fleet: Fleet,
         val pool: ServerConnectionPool,
         val adapterLoader: AdapterLoader,
         val crashWatch: ServerCrashWatch,
+        val announcements: AnnouncementRecorder,
     )
 
     /** The policies that select a server for a request and limit its retries. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
@@ -20,7 +20,10 @@
     private val spec: ServiceSpec?,
 ) {
     /** When a request arrived and when it must end, in milliseconds of the node's steady clock. */
-    class Timing(val startedAt: Long, val deadlineAt: Long)
+    class Timing(val startedAt: Long, val deadlineAt: Long) {
+        /** Time that a server gets for a request that is sent at [now]; 0 or less when there is none left. */
+        fun serverBudgetMillis(now: Long): Long = deadlineAt - now - RESPONSE_MARGIN_MILLIS
+    }
 
     /** Progress of a request. */
     enum class Progress {
@@ -141,6 +144,9 @@
         /** A request that has already waited is better served late than refused and retried. */
         const val MAX_ACCEPTED_WAIT_FACTOR = 3.0
         const val MIN_CONNECTIONS = 4
+
+        /** Time for a response that a server sends at its deadline to arrive before this node ends the request. */
+        const val RESPONSE_MARGIN_MILLIS = 30L
         const val LOWEST_PRIORITY = 9
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
@@ -1,5 +1,8 @@
 package io.apricotslip.gateway.exchange
 
+import io.apricotslip.api.id.BackendServerId
+import io.apricotslip.serving.fleet.ServerAnnouncement
+
 /**
  * Metadata from the head of a backend server's response.
  *
@@ -10,6 +13,8 @@
  * @property misdirected whether the server does not serve the requested instance, model, adapter or version.
  * @property serverId id of the server that answered; null when not given.
  * @property maxRequestsPerSecond requests that the server takes from all nodes together; null when it names no limit.
+ * @property leaving whether the server says that it leaves.
+ * @property unreadable headers about the server that could not be read, for the log.
  */
 public data class ServerResponseMetadata(
     public val status: Int,
@@ -19,6 +24,8 @@
     public val misdirected: Boolean,
     public val serverId: String?,
     public val maxRequestsPerSecond: Double? = null,
+    public val leaving: Boolean = false,
+    public val unreadable: List<String> = emptyList(),
 ) {
     /** Whether [status] is in the 2xx range. */
     public val success: Boolean
@@ -28,6 +35,12 @@
     public val impliesNotExecuted: Boolean
         get() = !notExecuted && !misdirected && status in NOT_EXECUTED_STATUSES
 
+    /** What the response says about [asked], the server that was asked; null when another server responded. */
+    public fun announcement(asked: BackendServerId): ServerAnnouncement? {
+        if (serverId != null && serverId != asked.value) return null
+        return ServerAnnouncement(leaving, maxRequestsPerSecond, liftsLimit = signed)
+    }
+
     private companion object {
         /** Request timeout, too many requests, service unavailable. */
         val NOT_EXECUTED_STATUSES = setOf(408, 429, 503)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/AdapterLoadRequester.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/AdapterLoadRequester.kt
@@ -2,6 +2,7 @@
 
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.peer.FleetMessage
+import io.apricotslip.serving.fleet.Admission
 import io.apricotslip.serving.fleet.Fleet
 import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
@@ -72,10 +73,15 @@
         )
     }
 
-    /** Fails the requests whose holder lost its claim or is not heard any more: it may never answer. */
-    fun failUnheard() {
+    /**
+     * Fails the requests whose holder lost its claim or is not heard any more, as it may never answer, and those for
+     * servers that take no requests any more.
+     */
+    fun failHopeless() {
         val unheard = sentRequests.filterValues { orders.nextHop(it.server.id) != it.holder }.keys
         unheard.forEach { finish(it, "holder lost") }
+        val closed = sentRequests.filterValues { fleet.admission(it.server) != Admission.Open }.keys
+        closed.forEach { finish(it, "server gone") }
     }
 
     /** Handles the load request of a peer. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderSender.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderSender.kt
@@ -1,6 +1,7 @@
 package io.apricotslip.gateway.order
 
 import io.apricotslip.gateway.Dialect
+import io.apricotslip.gateway.exchange.AnnouncementRecorder
 import io.apricotslip.gateway.server.ServerConnectionPool
 import io.apricotslip.gateway.server.TextCall
 import io.apricotslip.serving.fleet.Server
@@ -11,6 +12,7 @@
     private val loop: EventLoop,
     private val pool: ServerConnectionPool,
     private val dialect: Dialect,
+    private val announcements: AnnouncementRecorder,
 ) {
     /** Sends [order] to [server]; [done] receives the result, [OrderResult.UNKNOWN] when none arrived in time. */
     fun send(server: Server, order: Order, done: (OrderResult) -> Unit) {
@@ -29,7 +31,13 @@
     private fun call(server: Server, call: TextCall, done: (TextCall.Outcome.Response?) -> Unit) {
         pool.acquire(server, MAX_CONNECTIONS, earlyExpiry = false) { connection, _ ->
             if (connection == null) return@acquire done(null)
-            call.send(connection, loop, RESPONSE_TIMEOUT_MILLIS) { done(it as? TextCall.Outcome.Response) }
+            call.send(connection, loop, RESPONSE_TIMEOUT_MILLIS) { outcome ->
+                val response = outcome as? TextCall.Outcome.Response
+                if (response != null) {
+                    announcements.record(server, dialect.parseServerResponse(response.status, response.headers))
+                }
+                done(response)
+            }
         }
     }
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Fleet.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Fleet.kt
@@ -60,14 +60,13 @@
     }
 
     private fun accept(entry: ServerEntry, position: StorePosition, now: Long): Change {
+        val known = servers[entry.id]
+        val sameIncarnation = known != null && known.entry.startedAtMillis == entry.startedAtMillis
+        val announcements = if (sameIncarnation) known.announcements else removed.announcements(entry)
         lapsed.remove(entry.id)
         removed.forget(entry.id)
-        val known = servers[entry.id]
-        if (known == null ||
-            known.entry.startedAtMillis != entry.startedAtMillis ||
-            known.entry.service != entry.service
-        ) {
-            servers[entry.id] = Server(entry, position, now)
+        if (!sameIncarnation || known.entry.service != entry.service) {
+            servers[entry.id] = Server(entry, position, now, announcements ?: ServerAnnouncements())
             return Change.NEW_LIFE
         }
         val wasLeaving = known.leavingSince != null
@@ -134,9 +133,13 @@
         return ended.keys.toList()
     }
 
+    /** Whether [server], which was selected before, may be sent a request. */
+    public fun admission(server: Server): Admission = server.admission(current = servers[server.id] === server)
+
     /** Servers of [service] that may be given new work at [now]; those in backoff are left out. */
-    public fun usable(service: ServiceId, now: Long): List<Server> =
-        servers.values.filter { it.entry.service == service && it.leavingSince == null && it.health.usable(now) }
+    public fun usable(service: ServiceId, now: Long): List<Server> = servers.values.filter {
+        it.entry.service == service && it.admission() == Admission.Open && it.health.usable(now)
+    }
 
     /** Servers of [service] that have not announced that they leave. */
     public fun serversNotLeaving(service: ServiceId): List<Server> =
@@ -144,7 +147,7 @@
 
     private fun remove(id: BackendServerId, position: StorePosition) {
         lapsed.remove(id)
-        servers.remove(id)?.let { removed.record(it.entry, position) }
+        servers.remove(id)?.let { removed.record(it, position) }
     }
 
     private companion object {
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/RemovedServers.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/RemovedServers.kt
@@ -15,16 +15,26 @@
     /** An entry of a removed server that came back with the store at [position], first read at [since]. */
     class Returning(val entry: ServerEntry, val position: StorePosition, val since: Long)
 
-    private val lastStatements = object : LinkedHashMap<BackendServerId, Statement>() {
-        override fun removeEldestEntry(eldest: Map.Entry<BackendServerId, Statement>) = size > MAX_REMOVED
+    private class Announced(val startedAtMillis: Long, val announcements: ServerAnnouncements)
+
+    private class Recent<T> : LinkedHashMap<BackendServerId, T>() {
+        override fun removeEldestEntry(eldest: Map.Entry<BackendServerId, T>) = size > MAX_REMOVED
     }
+
+    private val lastStatements = Recent<Statement>()
+    private val announced = Recent<Announced>()
     private val returning = HashMap<BackendServerId, Returning>()
 
-    /** Records that the server with [entry] was removed at [position]. */
-    fun record(entry: ServerEntry, position: StorePosition) {
-        lastStatements[entry.id] = Statement(position, entry.count)
+    /** Records that [server] was removed at [position]. */
+    fun record(server: Server, position: StorePosition) {
+        lastStatements[server.id] = Statement(position, server.entry.count)
+        announced[server.id] = Announced(server.entry.startedAtMillis, server.announcements)
     }
 
+    /** What the incarnation that [entry] describes has said in its answers; null if it was not removed before. */
+    fun announcements(entry: ServerEntry): ServerAnnouncements? =
+        announced[entry.id]?.takeIf { it.startedAtMillis == entry.startedAtMillis }?.announcements
+
     /** Whether [entry] is not used for now: it says nothing that was not known when its server was removed. */
     fun holdsBack(entry: ServerEntry, statement: Statement, now: Long): Boolean {
         val last = lastStatements[entry.id] ?: return false
@@ -56,6 +66,7 @@
 
     fun forget(id: BackendServerId) {
         lastStatements.remove(id)
+        announced.remove(id)
         returning.remove(id)
     }
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
@@ -6,8 +6,17 @@
 import io.apricotslip.serving.published.Statement
 import io.apricotslip.serving.published.StorePosition
 
-/** What this node knows about one incarnation of one backend server. */
-public class Server(entry: ServerEntry, position: StorePosition, now: Long) {
+/**
+ * What this node knows about one incarnation of one backend server.
+ *
+ * @property announcements what the answers of this incarnation have said about it.
+ */
+public class Server(
+    entry: ServerEntry,
+    position: StorePosition,
+    now: Long,
+    public val announcements: ServerAnnouncements = ServerAnnouncements(),
+) {
     /** The entry that the server published last. */
     public var entry: ServerEntry = entry
         private set
@@ -20,9 +29,11 @@
     public var entryReadAt: Long = now
         private set
 
-    /** Time since which the server gets no new work, or null. */
-    public var leavingSince: Long? = now.takeIf { entry.leaving }
-        private set
+    private var entryLeavingSince: Long? = now.takeIf { entry.leaving }
+
+    /** Time since which it is known that the server leaves, or null. */
+    public val leavingSince: Long?
+        get() = announcements.leavingSince ?: entryLeavingSince
 
     public val id: BackendServerId
         get() = entry.id
@@ -34,7 +45,8 @@
     public val latencyEstimator: EngineLatencyEstimator = EngineLatencyEstimator()
 
     /** The limit that this incarnation names for the requests of all nodes. */
-    public val requestLimit: RequestLimit = RequestLimit()
+    public val requestLimit: RequestLimit
+        get() = announcements.requestLimit
 
     /** Resident adapters with their versions, from the server's entry or its order holder, whichever is newer. */
     public var adapters: Map<ServedAdapter, Long> = entry.adapters
@@ -62,13 +74,17 @@
     public val localAdaptersInUse: Set<ServedAdapter>
         get() = localUseCounts.keys
 
+    /** Whether the server may be sent a request; [current] tells whether the store still lists this incarnation. */
+    internal fun admission(current: Boolean = true): Admission =
+        Admission.of(current, entryLeaving = entryLeavingSince != null, announcements)
+
     /** Applies a newer entry of the same incarnation, which the store holds at [newPosition]. */
     public fun update(newer: ServerEntry, newPosition: StorePosition, now: Long) {
         entry = newer
         position = newPosition
         entryReadAt = now
-        if (newer.leaving && leavingSince == null) leavingSince = now
-        if (!newer.leaving) leavingSince = null
+        if (newer.leaving && entryLeavingSince == null) entryLeavingSince = now
+        if (!newer.leaving) entryLeavingSince = null
         if (now - holderReportedAt > HOLDER_REPORT_TTL_MILLIS) setAdapters(newer.adapters, emptySet())
     }
 
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerAnnouncements.kt
@@ -0,0 +1,35 @@
+package io.apricotslip.serving.fleet
+
+import io.apricotslip.serving.limit.RequestLimit
+
+/**
+ * What the answers of one incarnation of a backend server have said about it. It outlives the entry of the server, as
+ * an entry may be removed and come back while the server runs.
+ */
+public class ServerAnnouncements {
+    /** What changed by an announcement. */
+    public enum class Change { LEAVING, LIMIT }
+
+    /**
+     * Time of the first answer that said that the server leaves; null when none did. An incarnation does not take that
+     * back: answers without it may have been written before, and so may entries.
+     */
+    public var leavingSince: Long? = null
+        private set
+
+    /** The limit that the server names for the requests of all nodes. */
+    public val requestLimit: RequestLimit = RequestLimit()
+
+    /** Applies [announcement], which was read at [now]; returns what it changed. */
+    public fun record(announcement: ServerAnnouncement, now: Long): Set<Change> {
+        val changes = HashSet<Change>()
+        if (announcement.leaving && leavingSince == null) {
+            leavingSince = now
+            changes += Change.LEAVING
+        }
+        val limit = announcement.maxRequestsPerSecond
+        val statesLimit = limit != null || announcement.liftsLimit
+        if (statesLimit && requestLimit.recordStatement(limit, now, now)) changes += Change.LIMIT
+        return changes
+    }
+}
