Leave a server alone for the time that it names when it turns a request away

Callers that were refused because all servers paused were told to return after 0.4 s, before there was room.

Cause: a refusal was remembered by its request only (TriedServers).

Change: the pause is part of what a server says of itself, so that Admission decides it with the rest, at selection and before sending. While all servers pause, a request waits if it can still be in time, else it is refused at once with the time at which there is room; both come back at the pace at which requests arrive (ReturnSchedule), not together. A request that was turned away with a pause may go to the same server again after it.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -189,7 +189,7 @@
         self = options.self,
         loop = loop,
         now = ::now,
-        sender = OrderSender(loop, pool, dialect, announcements),
+        sender = OrderSender(loop, pool, dialect, announcements) { fleet.admission(it, now()) },
         log = log,
         metrics = metrics,
         newestVersion = versions::newest,
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/AnnouncementRecorder.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/AnnouncementRecorder.kt
@@ -15,6 +15,9 @@
         for (change in server.announcements.record(announcement, now())) {
             val detail = when (change) {
                 Change.LEAVING -> "event=server_leaving request=$requestId server=${server.id} status=${head.status}"
+                Change.PAUSED ->
+                    "event=server_paused request=$requestId server=${server.id} status=${head.status} " +
+                        "millis=${announcement.pauseMillis}"
                 Change.LIMIT ->
                     "event=limit_changed request=$requestId server=${server.id} " +
                         "per_second=${announcement.maxRequestsPerSecond}"
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
@@ -44,13 +44,36 @@
         val limited = servers.filterNot { it.requestLimit.available(share, now) }
         val decision = choose(servers, excluded + limited.map { it.id }, timing, progress, now)
         val noneLeft = decision is PlacementDecision.Refuse && decision.reason == PlacementDecision.Reason.NO_SERVER
+        if (!noneLeft) return decision
         val open = limited.filter { it.id !in excluded }
-        if (!noneLeft || open.isEmpty()) return decision
+        if (open.isEmpty()) return whenPaused(excluded, timing, progress, now) ?: decision
         val rate = open.sumOf { it.requestLimit.ownRate(share) ?: 0.0 }
         val delayMillis = context.rules.returnSchedule(service).nextDelayMillis(rate, now)
         return PlacementDecision.Refuse(PlacementDecision.Reason.LIMITED, delayMillis)
     }
 
+    /**
+     * The decision when all servers that could answer want no requests for a while; null when none of them does. What
+     * waits here and what comes back later reaches them at the pace at which requests arrive, not all at once.
+     */
+    private fun whenPaused(
+        excluded: Set<BackendServerId>,
+        timing: Timing,
+        progress: Progress,
+        now: Long,
+    ): PlacementDecision? {
+        val pauseMillis = context.servers.fleet.shortestPauseMillis(service, excluded, now) ?: return null
+        val pace = context.rules.traffic.requestsPerSecond(now)
+        val schedule = context.rules.returnSchedule(service)
+        val delayMillis = schedule.nextDelayAfterPauseMillis(pace, now, openAt = now + pauseMillis)
+        val patienceMillis = when (progress) {
+            Progress.STARTED -> (timing.deadlineAt - now) / 2
+            Progress.NEW, Progress.ACCEPTED -> remainingWait(timing, MAX_PAUSE_WAIT_FACTOR, now)
+        }
+        if (delayMillis <= patienceMillis) return PlacementDecision.Wait(delayMillis)
+        return PlacementDecision.Refuse(PlacementDecision.Reason.PAUSED, delayMillis)
+    }
+
     private fun choose(
         servers: List<Server>,
         excluded: Set<BackendServerId>,
@@ -141,6 +164,9 @@
         /** Late loads yield to loads that can be on time, so waiting for one costs other requests less than a queue. */
         const val MAX_LOAD_WAIT_FACTOR = 2.5
 
+        /** The rest of the objective is for the answer, so that a request that waited can still be in time. */
+        const val MAX_PAUSE_WAIT_FACTOR = 0.5
+
         /** A request that has already waited is better served late than refused and retried. */
         const val MAX_ACCEPTED_WAIT_FACTOR = 3.0
         const val MIN_CONNECTIONS = 4
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/SendCheck.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/SendCheck.kt
@@ -12,10 +12,11 @@
     /** Why the request may not be sent to [server] now, for the log; null when it may. */
     fun obstacle(server: Server): String? {
         if (promptGate.standing() != PromptStanding.Clear) return "suspected"
-        return when (context.servers.fleet.admission(server)) {
+        return when (context.servers.fleet.admission(server, context.now())) {
             Admission.Open -> null
             Admission.Gone -> "gone"
             Admission.Leaving -> "leaving"
+            is Admission.Paused -> "paused"
         }
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
@@ -14,6 +14,7 @@
  * @property serverId id of the server that answered; null when not given.
  * @property maxRequestsPerSecond requests that the server takes from all nodes together; null when it names no limit.
  * @property leaving whether the server says that it leaves.
+ * @property retryAfterMillis time after which the server wants the next request; null when it names none.
  * @property unreadable headers about the server that could not be read, for the log.
  */
 public data class ServerResponseMetadata(
@@ -25,6 +26,7 @@
     public val serverId: String?,
     public val maxRequestsPerSecond: Double? = null,
     public val leaving: Boolean = false,
+    public val retryAfterMillis: Long? = null,
     public val unreadable: List<String> = emptyList(),
 ) {
     /** Whether [status] is in the 2xx range. */
@@ -38,10 +40,17 @@
     /** What the response says about [asked], the server that was asked; null when another server responded. */
     public fun announcement(asked: BackendServerId): ServerAnnouncement? {
         if (serverId != null && serverId != asked.value) return null
-        return ServerAnnouncement(leaving, maxRequestsPerSecond, liftsLimit = signed)
+        return ServerAnnouncement(leaving, pauseMillis, maxRequestsPerSecond, liftsLimit = signed)
     }
 
+    /** Time for which the server that turned a request away wants no other one; null when it names none. */
+    internal val pauseMillis: Long?
+        get() = retryAfterMillis.takeIf { status in TURNED_AWAY_STATUSES }
+
     private companion object {
+        /** Too many requests, service unavailable. */
+        val TURNED_AWAY_STATUSES = setOf(429, 503)
+
         /** Request timeout, too many requests, service unavailable. */
         val NOT_EXECUTED_STATUSES = setOf(408, 429, 503)
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/TriedServers.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/TriedServers.kt
@@ -55,6 +55,8 @@
                 metadata.adapter?.let(server::markAdapterMissing)
                 missingAdapter = server
             }
+            // It may have room again before the request must be answered; until then it is closed to all requests.
+            head.pauseMillis != null -> Unit
             else -> exclude(server)
         }
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/AdapterLoadRequester.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/AdapterLoadRequester.kt
@@ -80,7 +80,7 @@
     fun failHopeless() {
         val unheard = sentRequests.filterValues { orders.nextHop(it.server.id) != it.holder }.keys
         unheard.forEach { finish(it, "holder lost") }
-        val closed = sentRequests.filterValues { fleet.admission(it.server) != Admission.Open }.keys
+        val closed = sentRequests.filterValues { fleet.admission(it.server, now()) != Admission.Open }.keys
         closed.forEach { finish(it, "server gone") }
     }
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderSender.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderSender.kt
@@ -4,6 +4,7 @@
 import io.apricotslip.gateway.exchange.AnnouncementRecorder
 import io.apricotslip.gateway.server.ServerConnectionPool
 import io.apricotslip.gateway.server.TextCall
+import io.apricotslip.serving.fleet.Admission
 import io.apricotslip.serving.fleet.Server
 import io.netty.channel.EventLoop
 
@@ -13,6 +14,7 @@
     private val pool: ServerConnectionPool,
     private val dialect: Dialect,
     private val announcements: AnnouncementRecorder,
+    private val admission: (Server) -> Admission,
 ) {
     /** Sends [order] to [server]; [done] receives the result, [OrderResult.UNKNOWN] when none arrived in time. */
     fun send(server: Server, order: Order, done: (OrderResult) -> Unit) {
@@ -28,7 +30,9 @@
         }
     }
 
+    /** Makes [call]; a server that wants no requests for a while gets none, which counts as no response. */
     private fun call(server: Server, call: TextCall, done: (TextCall.Outcome.Response?) -> Unit) {
+        if (admission(server) is Admission.Paused) return done(null)
         pool.acquire(server, MAX_CONNECTIONS, earlyExpiry = false) { connection, _ ->
             if (connection == null) return@acquire done(null)
             call.send(connection, loop, RESPONSE_TIMEOUT_MILLIS) { outcome ->
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Admission.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Admission.kt
@@ -14,12 +14,17 @@
     /** The server has announced that it leaves, in its entry or in an answer. */
     public data object Leaving : Admission()
 
+    /** The server turned a request of this node away and wants no other one for [millis]. */
+    public data class Paused(public val millis: Long) : Admission()
+
     /** What decides, in the order in which it does. */
     internal companion object {
-        fun of(current: Boolean, entryLeaving: Boolean, announcements: ServerAnnouncements): Admission = when {
-            !current -> Gone
-            entryLeaving || announcements.leavingSince != null -> Leaving
-            else -> Open
-        }
+        fun of(current: Boolean, entryLeaving: Boolean, announcements: ServerAnnouncements, now: Long): Admission =
+            when {
+                !current -> Gone
+                entryLeaving || announcements.leavingSince != null -> Leaving
+                announcements.pausedUntil > now -> Paused(announcements.pausedUntil - now)
+                else -> Open
+            }
     }
 }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Fleet.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Fleet.kt
@@ -133,14 +133,21 @@
         return ended.keys.toList()
     }
 
-    /** Whether [server], which was selected before, may be sent a request. */
-    public fun admission(server: Server): Admission = server.admission(current = servers[server.id] === server)
+    /** Whether [server], which was selected before, may be sent a request at [now]. */
+    public fun admission(server: Server, now: Long): Admission =
+        server.admission(now, current = servers[server.id] === server)
 
     /** Servers of [service] that may be given new work at [now]; those in backoff are left out. */
     public fun usable(service: ServiceId, now: Long): List<Server> = servers.values.filter {
-        it.entry.service == service && it.admission() == Admission.Open && it.health.usable(now)
+        it.entry.service == service && it.admission(now) == Admission.Open && it.health.usable(now)
     }
 
+    /** Time after which the first of the paused servers of [service] takes requests; null when none is paused. */
+    public fun shortestPauseMillis(service: ServiceId, excluded: Set<BackendServerId>, now: Long): Long? =
+        servers.values.filter { it.entry.service == service && it.id !in excluded }
+            .mapNotNull { (it.admission(now) as? Admission.Paused)?.millis }
+            .minOrNull()
+
     /** Servers of [service] that have not announced that they leave. */
     public fun serversNotLeaving(service: ServiceId): List<Server> =
         servers.values.filter { it.entry.service == service && it.leavingSince == null }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/Server.kt
@@ -74,9 +74,12 @@
     public val localAdaptersInUse: Set<ServedAdapter>
         get() = localUseCounts.keys
 
-    /** Whether the server may be sent a request; [current] tells whether the store still lists this incarnation. */
-    internal fun admission(current: Boolean = true): Admission =
-        Admission.of(current, entryLeaving = entryLeavingSince != null, announcements)
+    /**
+     * Whether the server may be sent a request at [now]; [current] tells whether the store still lists this
+     * incarnation.
+     */
+    internal fun admission(now: Long, current: Boolean = true): Admission =
+        Admission.of(current, entryLeaving = entryLeavingSince != null, announcements, now)
 
     /** Applies a newer entry of the same incarnation, which the store holds at [newPosition]. */
     public fun update(newer: ServerEntry, newPosition: StorePosition, now: Long) {
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerAnnouncements.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/fleet/ServerAnnouncements.kt
@@ -8,7 +8,7 @@
  */
 public class ServerAnnouncements {
     /** What changed by an announcement. */
-    public enum class Change { LEAVING, LIMIT }
+    public enum class Change { LEAVING, PAUSED, LIMIT }
 
     /**
      * Time of the first answer that said that the server leaves; null when none did. An incarnation does not take that
@@ -17,6 +17,10 @@
     public var leavingSince: Long? = null
         private set
 
+    /** Time until which the server wants no request of this node: the latest that one of its answers named. */
+    public var pausedUntil: Long = Long.MIN_VALUE / 2
+        private set
+
     /** The limit that the server names for the requests of all nodes. */
     public val requestLimit: RequestLimit = RequestLimit()
 
@@ -27,9 +31,19 @@
             leavingSince = now
             changes += Change.LEAVING
         }
+        val resumesAt = announcement.pauseMillis?.let { now + it.coerceIn(0, MAX_PAUSE_MILLIS) }
+        if (resumesAt != null && resumesAt > maxOf(now, pausedUntil)) {
+            pausedUntil = resumesAt
+            changes += Change.PAUSED
+        }
         val limit = announcement.maxRequestsPerSecond
         val statesLimit = limit != null || announcement.liftsLimit
         if (statesLimit && requestLimit.recordStatement(limit, now, now)) changes += Change.LIMIT
         return changes
     }
+
+    private companion object {
+        /** Longer pauses are asked for anew, so that a senseless value does not last for the life of a server. */
+        const val MAX_PAUSE_MILLIS = 3_600_000L
+    }
 }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/limit/TrafficMeter.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/limit/TrafficMeter.kt
@@ -31,6 +31,9 @@
         return arrivals.size
     }
 
+    /** Requests a second that this node received within the window that ends at [now]. */
+    public fun requestsPerSecond(now: Long): Double = ownRequests(now) * MILLIS_PER_SECOND / WINDOW_MILLIS
+
     /** The share of this node at [now]. */
     public fun share(now: Long): TrafficShare {
         val nodes = maxOf(1, sizes.firstOrNull()?.second ?: 1)
@@ -40,6 +43,8 @@
     }
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
         /** Long enough for a steady share, short enough to follow callers that move to other nodes. */
         const val WINDOW_MILLIS = 4_000L
 
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/PlacementDecision.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/placement/PlacementDecision.kt
@@ -17,7 +17,7 @@
         public val queueMillis: Long,
     ) : PlacementDecision()
 
-    /** No engine can take the request yet, but one is expected to soon; choose again after [millis]. */
+    /** No server can take the request yet, but one is expected to soon; choose again after [millis]. */
     public data class Wait(public val millis: Long) : PlacementDecision()
 
     /** Refuse the request; the caller may retry after [retryAfterMillis]. */
@@ -34,6 +34,9 @@
         /** Every backend server that could answer has named a limit, and this node's share of it is used up. */
         LIMITED,
 
+        /** Every backend server that could answer wants no requests of this node for a while. */
+        PAUSED,
+
         /** The adapter is resident at no backend server, and none can load it. */
         NO_PLACE,
     }
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/fleet/AdmissionTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/fleet/AdmissionTest.kt
@@ -16,7 +16,7 @@
         data class Entry(val leaving: Boolean = false, val startedAtMillis: Long = 1, val era: Long = 0) : Step()
 
         /** An answer of the incarnation that was in use at the start, or of the one in use now. */
-        data class Answer(val leaving: Boolean, val ofFirst: Boolean = false) : Step()
+        data class Answer(val leaving: Boolean, val ofFirst: Boolean = false, val pauseMillis: Long? = null) : Step()
 
         /** The store removes the entry. */
         data object Removed : Step()
@@ -31,6 +31,9 @@
     private class Case(val name: String, val expected: Admission?, vararg val steps: Step)
 
     private val says = Step.Answer(leaving = true)
+
+    private fun pause(millis: Long, ofFirst: Boolean = false) = Step.Answer(leaving = false, ofFirst, millis)
+
     private val cases = listOf(
         Case("nothing said", Admission.Open, Step.Answer(leaving = false)),
         Case("an entry that leaves", Admission.Leaving, Step.Entry(leaving = true)),
@@ -67,6 +70,19 @@
         ),
         Case("removed before it said so, and back", Admission.Open, Step.Removed, Step.Entry()),
         Case("back from a copy of the store", Admission.Leaving, says, Step.Restored, Step.Entry(era = 1)),
+        Case("a pause", Admission.Paused(400), pause(500)),
+        Case("a pause that is over", Admission.Open, pause(50)),
+        Case("no pause", Admission.Open, pause(0)),
+        Case("a shorter pause after a longer one", Admission.Paused(400), pause(500), pause(200)),
+        Case("a longer pause after a shorter one", Admission.Paused(401), pause(200), pause(500)),
+        Case("an answer without a pause after one", Admission.Paused(400), pause(500), Step.Answer(leaving = false)),
+        Case("a pause without end", Admission.Paused(3_600_000 - 100), pause(Long.MAX_VALUE)),
+        Case("a negative pause", Admission.Open, pause(-5)),
+        Case("a pause of a server that leaves", Admission.Leaving, pause(500), says),
+        Case("a pause, then an entry", Admission.Paused(400), pause(500), Step.Entry()),
+        Case("a pause, removed and back", Admission.Paused(400), pause(500), Step.Removed, Step.Entry()),
+        Case("a pause, then a new start", Admission.Open, pause(500), Step.Entry(startedAtMillis = 2)),
+        Case("a pause of the start before", Admission.Open, Step.Entry(startedAtMillis = 2), pause(500, true)),
         Case("lapsed while the store was away", Admission.Leaving, says, Step.LapsedInOutage, Step.Entry()),
     )
 
@@ -87,7 +103,7 @@
                     }
                     is Step.Answer -> {
                         val server = if (step.ofFirst) first else checkNotNull(fleet[id])
-                        server.announcements.record(ServerAnnouncement(step.leaving), now)
+                        server.announcements.record(ServerAnnouncement(step.leaving, step.pauseMillis), now)
                     }
                     Step.Removed -> fleet.applyRemoval(id, StorePosition(0, ++revision), now)
                     Step.Restored -> fleet.onStoreRestored(now)
@@ -99,9 +115,9 @@
                 }
             }
             val server = fleet[id]
-            expectThat(server?.let(fleet::admission)).isEqualTo(case.expected)
+            expectThat(server?.let { fleet.admission(it, now = 200) }).isEqualTo(case.expected)
             expectThat(fleet.usable(service, 200).size).isEqualTo(if (case.expected == Admission.Open) 1 else 0)
-            if (server !== first) expectThat(fleet.admission(first)).isEqualTo(Admission.Gone)
+            if (server !== first) expectThat(fleet.admission(first, now = 200)).isEqualTo(Admission.Gone)
         }
     }
 }
