Keep an answer from seeming later each time that nodes pass it on

Cause: nodes tell each other the age of an answer, without the time on the way, and keep the latest. An answer that came back from another node seemed a few milliseconds later, each time, until it seemed to come after the crash that it came before.

Change: an answer bears an id; one that is known keeps its time.

--- a/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/CrashEvidence.kt
+++ b/apricotslip-api/src/main/kotlin/io/apricotslip/api/peer/CrashEvidence.kt
@@ -34,11 +34,18 @@
         @SerialName("p") public val parts: Map<PromptPartId, Int>,
     )
 
-    /** A part of a prompt that was answered, and the time since then. */
+    /**
+     * A part of a prompt that was answered.
+     *
+     * @property ageMillis time since the answer.
+     * @property answer identifies the answer, so that a node does not take it for a later one when it comes back from
+     * others.
+     */
     @Serializable
     public data class AnsweredPart(
         @SerialName("p") public val part: PromptPartId,
         @SerialName("g") public val ageMillis: Long,
+        @SerialName("i") public val answer: Int = 0,
     )
 
     /**
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/PromptQuarantine.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/PromptQuarantine.kt
@@ -4,6 +4,7 @@
 import io.apricotslip.api.id.PromptPartId
 import io.apricotslip.api.peer.CrashEvidence
 import io.apricotslip.serving.crash.CrashAttribution.ANY_PROMPT
+import kotlin.random.Random
 
 /**
  * Keeps prompts with a part that crashes servers away from them.
@@ -17,7 +18,7 @@
     public class Changes(public val added: List<CrashEvidence.QuarantinedPart>, public val lifted: List<PromptPartId>)
 
     private val records = LinkedHashMap<ServerLife, CrashRecord>()
-    private val answers = PartTimes(MAX_ANSWERED_PARTS)
+    private val answers = AnswerTimes(MAX_ANSWERED_PARTS)
     private val announcedUntil = PartTimes(MAX_ANNOUNCED_PARTS)
     private val entries = QuarantineList()
     private var provisional: PromptPartId? = null
@@ -34,8 +35,9 @@
 
     /** Records that the answer to a prompt with [parts] has begun, which clears these parts. */
     public fun recordAnswered(parts: List<PromptPartId>, now: Long) {
-        recordAnswer(ANY_PROMPT, now, now)
-        parts.forEach { recordAnswer(it, now, now) }
+        val answer = Random.nextInt()
+        recordAnswer(ANY_PROMPT, now, answer, now)
+        parts.forEach { recordAnswer(it, now, answer, now) }
     }
 
     /** Whether a prompt with [parts] may be sent at [now]. */
@@ -64,7 +66,7 @@
         }
         val mentioned = records.values.flatMapTo(LinkedHashSet()) { it.parts.keys } + announcedUntil.keys
         val answered = mentioned.mapNotNull { part ->
-            answers[part]?.let { CrashEvidence.AnsweredPart(part, now - it) }
+            answers.latest(part)?.let { CrashEvidence.AnsweredPart(part, now - it.at, it.id) }
         }
         val quarantines = entries.toMessages(now)
         if (crashes.isEmpty() && answered.isEmpty() && quarantines.isEmpty()) return null
@@ -73,7 +75,7 @@
 
     /** Merges the evidence of another node. */
     public fun merge(evidence: CrashEvidence, now: Long) {
-        evidence.answers.forEach { recordAnswer(it.part, now - validAge(it.ageMillis), now) }
+        evidence.answers.forEach { recordAnswer(it.part, now - validAge(it.ageMillis), it.answer, now) }
         for (crash in evidence.crashes) {
             addCrash(ServerLife(crash.server, crash.startedAtMillis), now - validAge(crash.ageMillis), crash.parts)
         }
@@ -81,8 +83,8 @@
         evaluate(now)
     }
 
-    private fun recordAnswer(part: PromptPartId, at: Long, now: Long) {
-        answers.put(part, at)
+    private fun recordAnswer(part: PromptPartId, at: Long, answer: Int, now: Long) {
+        if (!answers.put(part, at, answer)) return
         if (entries.clear(part, at)) announce(part, now)
     }
 
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/crash/PromptQuarantineTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/crash/PromptQuarantineTest.kt
@@ -199,6 +199,30 @@
         )
     }
 
+    @Test
+    fun `an answer before the crashes does not seem later because nodes pass it on again and again`() {
+        val nodes = List(3) { PromptQuarantine() }
+        nodes[0].recordAnswered(parts("f p"), 1_000)
+        crash("f p", 1_010, nodes[1])
+        crash("f p", 1_400, nodes[2])
+        nodes.forEach { it.recordAnswered(parts("f"), 1_500) }
+        var lifted = 0
+        val underWay = ArrayDeque<Pair<Long, () -> Unit>>()
+        for (now in 1_500L..20_000L) {
+            while (underWay.isNotEmpty() && underWay.first().first <= now) underWay.removeFirst().second()
+            if (now % 150 != 0L) continue
+            for (node in nodes) {
+                lifted += node.tick(now).lifted.size
+                val evidence = node.evidence(now) ?: continue
+                (nodes - node).forEach { other ->
+                    underWay += now + LATENCY_MILLIS to { other.merge(evidence, now + LATENCY_MILLIS) }
+                }
+            }
+        }
+        nodes.forEach { expectThat(isQuarantined("p", 20_000, it)).isEqualTo(true) }
+        expectThat(lifted).isEqualTo(0)
+    }
+
     @Test
     fun `the evidence of a node that knows of no crash is null`() {
         quarantine.recordAnswered(parts("f p"), 10)
@@ -206,4 +230,9 @@
         crash("f", 30)
         expectThat(quarantine.evidence(40)).isNotNull()
     }
+
+    private companion object {
+        /** Time for a message between two nodes. */
+        const val LATENCY_MILLIS = 5L
+    }
 }
