Hold back whole requests that crash servers, on every kind of route

On streams a part of its session stood in for it: sound requests of the session waited, and lifted the quarantine with each answer.

Cause: crash evidence named only parts of prompts, which such requests do not have or share with sound ones. Traced with a digest in event=broken: the same method, path and body in each of the crashes, from another address each time.

Change: one attribution over traits of requests (RequestTrait): a part, or the whole request, by a digest that is computed only while there is evidence. Of traits that are equally suspicious the whole request comes first, and what it was tied with is still counted if other requests with it crash servers. The servers count as at fault by service, and only if other requests went unanswered too. A request that is sent on at once counts as two crashes. Traits that were sent after a crash are no evidence.

RequestQuarantineTest 56, CrashesAcrossFleetTest 98, RequestTraitsTest 14, DeadlyRequestTest 4 pass.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -23,7 +23,7 @@
 import io.apricotslip.gateway.peer.PeerReports
 import io.apricotslip.gateway.server.Connector
 import io.apricotslip.gateway.server.ServerConnectionPool
-import io.apricotslip.serving.crash.PromptQuarantine
+import io.apricotslip.serving.crash.RequestQuarantine
 import io.apricotslip.serving.fleet.AdapterVersions
 import io.apricotslip.serving.fleet.Fleet
 import io.apricotslip.serving.fleet.ServedAdapter
@@ -61,7 +61,7 @@
     private val log = DecisionLog(::now)
     private val fleet = Fleet()
     private val versions = AdapterVersions()
-    private val quarantine = PromptQuarantine()
+    private val quarantine = RequestQuarantine()
     private val traffic = TrafficMeter()
     private val reports = PeerReports(fleet, quarantine, traffic, ::published) { orders }
     private val exchange = FleetExchange(options.self, options.zone, options.weight, options.seeds, reports)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -97,7 +97,7 @@
 
     private fun endBrokenOff(reason: String, closedByServer: Boolean) {
         forwarder.discardUnsent()
-        if (closedByServer && eventCount < ANSWERED_EVENTS) exchange.promptGate.onClosedBeforeAnswer(server)
+        if (closedByServer && eventCount < ANSWERED_EVENTS) exchange.requestGate.onClosedBeforeAnswer(server, sentAt)
         exchange.onOutcomeUnknown(server, reason)
     }
 
@@ -114,7 +114,7 @@
             server.health.recordSuccess(context.now())
         }
         if (awaitingFirstEvent) recordEvent()
-        if (forwarder.success && eventCount < ANSWERED_EVENTS) exchange.promptGate.onAnswered()
+        if (forwarder.success && eventCount < ANSWERED_EVENTS) exchange.requestGate.onAnswered()
         forwarder.complete()
         exchange.onResponseForwarded(if (forwarder.success) "served" else "failed_by_server")
     }
@@ -127,7 +127,7 @@
     private fun recordEvent() {
         val now = context.now()
         eventCount++
-        if (eventCount == ANSWERED_EVENTS && forwarder.success) exchange.promptGate.onAnswered()
+        if (eventCount == ANSWERED_EVENTS && forwarder.success) exchange.requestGate.onAnswered()
         if (awaitingFirstEvent) {
             awaitingFirstEvent = false
             exchange.onFirstEvent(now - sentAt, pendingPromptTokensBefore, server)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/AttemptCounts.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/AttemptCounts.kt
@@ -11,7 +11,7 @@
     /** Times that the load of an adapter was requested for it. */
     var loadRequests = 0
 
-    /** Whether the request waited because its prompt was suspected. */
+    /** Whether the request waited because it was suspected of crashing servers. */
     var suspended = false
 
     /** Whether no more loads are requested for the request. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -5,7 +5,7 @@
 import io.apricotslip.gateway.caller.CallerRequest
 import io.apricotslip.gateway.caller.CallerResponse
 import io.apricotslip.gateway.server.HttpConnection
-import io.apricotslip.serving.crash.PromptStanding
+import io.apricotslip.serving.crash.RequestStanding
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.placement.PlacementDecision
 import io.apricotslip.serving.retry.SilenceLimits
@@ -30,32 +30,36 @@
     private val service: ServiceId,
     spec: ServiceSpec?,
 ) : CallerListener {
+    private val placement = Placement(context, route, metadata, service, spec)
     private val startedAt = request.arrivedAt
-    private val deadlineAt = startedAt + min(route.timeoutMillis, metadata.deadlineMillis ?: Long.MAX_VALUE)
+    private val deadlineAt = placement.deadlineAt(startedAt)
     private val timing = Placement.Timing(startedAt, deadlineAt)
     private val triedServers = TriedServers(metadata)
     private val forwarder = ResponseForwarder(context, response, route, metadata)
     private val gatewayResponse = GatewayResponse(context, response, forwarder, metadata.id)
-    val promptGate = PromptGate(context, metadata.sharedParts)
-    private val sendCheck = SendCheck(context, promptGate)
-    private val placement = Placement(context, route, metadata, service, spec)
+    private val traits = RequestTraits(request, metadata)
+    val requestGate = RequestGate(context, traits, service)
+    private val sendCheck = SendCheck(context, requestGate)
     val silenceLimits = SilenceLimits(route.targetLatencyMillis, route.targetGapMillis)
     private var reservation: Reservation? = null
     private var connection: HttpConnection? = null
     private val counts = AttemptCounts()
     private var finished = false
-    private val deadlineTimer = context.loop.schedule(::onDeadline, deadlineAt - context.now(), TimeUnit.MILLISECONDS)
+    private val deadlineTimer = context.loop.schedule(
+        ::onDeadline,
+        deadlineAt - context.now(),
+        TimeUnit.MILLISECONDS,
+    )
 
     val isStream: Boolean = route.kind == RouteKind.STREAM
     val timings = AnswerTimings(context, route, startedAt)
 
-    private val progress: Placement.Progress
-        get() = counts.progress(forwarder.started)
+    private val progress get() = counts.progress(forwarder.started)
 
     fun start() {
         context.openExchanges++
         request.body.retain()
-        if (metadata.sharedParts.isNotEmpty()) context.openPrompts.add(this)
+        context.openRequests.add(this)
         context.rules.retryBudget(service).recordRequest(startedAt)
         context.rules.traffic.recordRequest(startedAt)
         selectServer()
@@ -64,7 +68,7 @@
     override fun onCallerDisconnected() {
         if (finished) return
         val abandons = route.kind != RouteKind.AT_MOST_ONCE
-        if (abandons) connection?.abandon()
+        if (abandons) connection?.abandon() else traits.keep()
         finish("caller_left", keepConnection = !abandons)
     }
 
@@ -75,16 +79,15 @@
     /** Selects a server and carries out the decision: sends the request, loads the adapter, waits or refuses. */
     private fun selectServer() {
         if (finished) return
-        val now = context.now()
-        when (val standing = promptGate.standing()) {
-            PromptStanding.Clear -> Unit
-            is PromptStanding.Suspended -> {
+        when (val standing = requestGate.standing()) {
+            RequestStanding.Clear -> Unit
+            is RequestStanding.Suspended -> {
                 counts.suspended = true
                 return selectServerLater(min(standing.millis, SUSPENDED_POLL_MILLIS))
             }
-            is PromptStanding.Quarantined -> return refuse("quarantined", standing.millis)
+            is RequestStanding.Quarantined -> return refuse("quarantined", standing.millis)
         }
-        when (val decision = placement.choose(triedServers.excluded, timing, progress, now)) {
+        when (val decision = placement.choose(triedServers.excluded, timing, progress, context.now())) {
             is PlacementDecision.Send -> {
                 reserve(decision.server)
                 dispatch(decision.server, decision.estimateMillis)
@@ -135,8 +138,8 @@
         if (counts.dispatches > 0 && !budget.tryAcquire(context.now(), context.nodeCount())) return endWithoutRetry()
         val reserved = reservation
         val early = route.kind == RouteKind.AT_MOST_ONCE
-        val used = triedServers.usedConnections
-        context.servers.pool.acquire(server, placement.maxConnections(), early, used) { acquired, failure ->
+        val avoid = triedServers.usedConnections
+        context.servers.pool.acquire(server, placement.maxConnections(), early, avoid) { acquired, failure ->
             when {
                 finished || reservation !== reserved -> acquired?.abandon()
                 acquired == null -> onUnreachable(server, failure.orEmpty())
@@ -174,8 +177,8 @@
         counts.dispatches++
         reservation?.onSent()
         val serverMetadata = placement.serverRequest(server, budgetMillis, forwarder.lastEventId, now)
-        val entryAge = now - server.entryReadAt
-        log("sent", "server=${server.id} send=${counts.dispatches} entry_age_ms=$entryAge estimate_ms=$estimateMillis")
+        val ages = "entry_age_ms=${now - server.entryReadAt} estimate_ms=$estimateMillis"
+        log("sent", "server=${server.id} send=${counts.dispatches} $ages")
         val headers = context.dialect.serverRequestHeaders(request.headers, serverMetadata)
         val pendingPromptTokens = server.totalUtilization().pendingPromptTokens
         val attempt = Attempt(this, context, forwarder, server, acquired, metadata.id, pendingPromptTokens, now)
@@ -196,9 +199,7 @@
     fun onServerFailure(server: Server): Boolean {
         counts.executions++
         server.health.recordFailure()
-        if (!route.retryable || counts.executions >= route.maxAttempts || forwarder.started) return false
-        if (context.now() + route.targetLatencyMillis / 2 > deadlineAt) return false
-        if (!context.rules.retryBudget(service).available(context.now(), context.nodeCount())) return false
+        if (forwarder.started || !placement.mayRepeatFailed(counts.executions, timing, context.now())) return false
         connection = null
         reservation?.release()
         triedServers.exclude(server)
@@ -214,21 +215,20 @@
         reservation?.release()
         server.health.recordFailure()
         triedServers.exclude(server)
-        val runs = "runs=${counts.executions} event=${forwarder.lastEventId} parts=${metadata.sharedParts}"
+        val runs = "runs=${counts.executions} event=${forwarder.lastEventId} $traits"
         log("broken", "server=${server.id} reason=\"$reason\" $runs")
         if (finished) return
         if (route.retryable && counts.executions < route.maxAttempts) retry("broken") else endAsLost(reason)
     }
 
-    /** Ends the request at once if it waits for an answer and its prompt has been put into quarantine. */
+    /** Ends the request at once if it waits for an answer and has been put into quarantine. */
     fun endIfQuarantined() {
-        val standing = promptGate.standing()
-        if (finished || promptGate.answered || standing !is PromptStanding.Quarantined) return
+        val standing = requestGate.standing()
+        if (finished || requestGate.answered || standing !is RequestStanding.Quarantined) return
         if (connection != null) counts.executions++
         refuse("quarantined", standing.millis)
     }
 
-    /** Finishes the exchange after the complete response was forwarded. */
     fun onResponseForwarded(outcome: String) = finish(outcome, keepConnection = true)
 
     /** Records the first byte or event for the caller. */
@@ -264,8 +264,7 @@
 
     private fun onDeadline() {
         if (finished) return
-        val sent = connection != null
-        connection?.abandon()
+        val sent = connection?.also { it.abandon() } != null
         connection = null
         if (sent || counts.executions > 0) gatewayResponse.sendTimeout() else gatewayResponse.sendNotExecuted(0)
         finish("time_up sent=$sent", keepConnection = false)
@@ -281,16 +280,16 @@
         forwarder.release()
         request.body.release()
         context.openExchanges--
-        context.openPrompts.remove(this)
+        context.openRequests.remove(this)
         context.metrics.recordRequest(route.kind.name, outcome.substringBefore(' '))
-        log("ended", "outcome=$outcome sends=${counts.dispatches} $timings parts=${metadata.sharedParts}")
+        log("ended", "outcome=$outcome sends=${counts.dispatches} $timings $traits")
     }
 
     private fun log(event: String, detail: String) =
         context.log.write { "event=$event request=${metadata.id} route=${route.name} $detail" }
 
     private companion object {
-        /** Interval of checks whether a suspicion was dispelled, which an answer elsewhere may do at any time. */
+        /** Interval of checks whether an answer elsewhere has dispelled a suspicion. */
         const val SUSPENDED_POLL_MILLIS = 100L
 
         /** The duration of a few adapter loads. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
@@ -5,7 +5,7 @@
 import io.apricotslip.gateway.observe.DecisionLog
 import io.apricotslip.gateway.observe.GatewayMetrics
 import io.apricotslip.gateway.server.ServerConnectionPool
-import io.apricotslip.serving.crash.PromptQuarantine
+import io.apricotslip.serving.crash.RequestQuarantine
 import io.apricotslip.serving.fleet.Fleet
 import io.apricotslip.serving.fleet.ServedAdapter
 import io.apricotslip.serving.fleet.Server
@@ -50,7 +50,7 @@
         val plain: PlainServerSelector,
         val retryBudget: (ServiceId) -> RetryBudget,
         val minVersion: (ServedAdapter, Long) -> Long?,
-        val quarantine: PromptQuarantine,
+        val quarantine: RequestQuarantine,
         val traffic: TrafficMeter,
         val returnSchedule: (ServiceId) -> ReturnSchedule,
     )
@@ -58,8 +58,8 @@
     /** Number of requests in flight. */
     var openExchanges: Int = 0
 
-    /** Requests in flight that have a prompt, so that they may be put into quarantine. */
-    val openPrompts: MutableSet<Exchange> = LinkedHashSet()
+    /** Requests in flight, which may be put into quarantine. */
+    val openRequests: MutableSet<Exchange> = LinkedHashSet()
 
     /** Loads adapters on backend servers. */
     fun interface AdapterLoader {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeRouter.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeRouter.kt
@@ -58,8 +58,8 @@
         return exchange
     }
 
-    /** Ends the requests in flight whose prompts were put into quarantine. */
-    fun endQuarantined() = context.openPrompts.toList().forEach(Exchange::endIfQuarantined)
+    /** Ends the requests in flight that were put into quarantine. */
+    fun endQuarantined() = context.openRequests.toList().forEach(Exchange::endIfQuarantined)
 
     /** Fails requests on connections that have been silent for too long, and puts silent servers into backoff. */
     fun failSilentRequests(servers: Collection<Server>, pool: ServerConnectionPool, now: Long) {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
@@ -37,6 +37,10 @@
         STARTED,
     }
 
+    /** When a request that arrived at [startedAt] must end, by its route or its caller. */
+    fun deadlineAt(startedAt: Long): Long =
+        startedAt + min(route.timeoutMillis, metadata.deadlineMillis ?: Long.MAX_VALUE)
+
     /** Selects a server at [now], outside [excluded]. */
     fun choose(excluded: Set<BackendServerId>, timing: Timing, progress: Progress, now: Long): PlacementDecision {
         val servers = context.servers.fleet.usable(service, now)
@@ -105,6 +109,12 @@
         )
     }
 
+    /** Whether a request that servers executed [executions] times and failed may be sent again at [now]. */
+    fun mayRepeatFailed(executions: Int, timing: Timing, now: Long): Boolean = route.retryable &&
+        executions < route.maxAttempts &&
+        now + route.targetLatencyMillis / 2 <= timing.deadlineAt &&
+        context.rules.retryBudget(service).available(now, context.nodeCount())
+
     /** Maximum number of connections from this node to one server: its share of what the server accepts. */
     fun maxConnections(): Int =
         ((spec?.maxConnections ?: Int.MAX_VALUE) / context.nodeCount()).coerceAtLeast(MIN_CONNECTIONS)
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/RequestTraits.kt
@@ -0,0 +1,55 @@
+package io.apricotslip.gateway.exchange
+
+import io.apricotslip.api.id.RequestTrait
+import io.apricotslip.gateway.caller.CallerRequest
+import io.apricotslip.serving.crash.CrashAttribution
+import io.netty.handler.codec.http.HttpHeaderNames
+import java.security.MessageDigest
+import java.util.Base64
+
+/** The traits of one request that may crash servers. */
+internal class RequestTraits(private val request: CallerRequest, metadata: RequestMetadata) {
+    /** The shared parts of the prompt. */
+    val parts: List<RequestTrait> = metadata.sharedParts.map(RequestTrait::part)
+
+    private val wholeKnown = lazy(LazyThreadSafetyMode.NONE) { RequestTrait.request(digest()) }
+
+    /** The whole request; it costs a digest of the body, which must still be held. */
+    val whole: RequestTrait by wholeKnown
+
+    /** Makes the traits independent of the body, which is released when the request ends. */
+    fun keep() {
+        wholeKnown.value
+    }
+
+    /** All traits. */
+    val all: List<RequestTrait>
+        get() = parts + whole
+
+    /** All traits with their positions, of which the last is in the fewest other requests. */
+    fun positions(): Map<RequestTrait, Int> =
+        parts.withIndex().associate { it.value to it.index } + (whole to CrashAttribution.WHOLE_REQUEST_POSITION)
+
+    override fun toString(): String = "parts=$parts" + if (wholeKnown.isInitialized()) " digest=$whole" else ""
+
+    /**
+     * Of the headers only those that name the host and the caller count, as others differ between two attempts of the
+     * same request. So does the address from which it comes.
+     */
+    private fun digest(): String {
+        val digest = MessageDigest.getInstance("SHA-256")
+        val host = request.headers.get(HttpHeaderNames.HOST).orEmpty().lowercase()
+        val caller = request.headers.get(HttpHeaderNames.AUTHORIZATION).orEmpty()
+        for (field in listOf(request.method.name(), host, request.uri, caller)) {
+            digest.update(field.encodeToByteArray())
+            digest.update(0)
+        }
+        request.body.nioBuffers().forEach(digest::update)
+        return Base64.getUrlEncoder().encodeToString(digest.digest().copyOf(DIGEST_BYTES))
+    }
+
+    private companion object {
+        /** Short in messages between nodes, and too long to be met by chance or by trying. */
+        const val DIGEST_BYTES = 12
+    }
+}
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/SendCheck.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/SendCheck.kt
@@ -1,6 +1,6 @@
 package io.apricotslip.gateway.exchange
 
-import io.apricotslip.serving.crash.PromptStanding
+import io.apricotslip.serving.crash.RequestStanding
 import io.apricotslip.serving.fleet.Admission
 import io.apricotslip.serving.fleet.Server
 
@@ -8,10 +8,10 @@
  * Asks again, right before a request is sent, what was decided when its server was selected: the request may have
  * waited for a connection or for the load of an adapter since.
  */
-internal class SendCheck(private val context: ExchangeContext, private val promptGate: PromptGate) {
+internal class SendCheck(private val context: ExchangeContext, private val requestGate: RequestGate) {
     /** Why the request may not be sent to [server] now, for the log; null when it may. */
     fun obstacle(server: Server): String? {
-        if (promptGate.standing() != PromptStanding.Clear) return "suspected"
+        if (requestGate.standing() != RequestStanding.Clear) return "suspected"
         return when (context.servers.fleet.admission(server, context.now())) {
             Admission.Open -> null
             Admission.Gone -> "gone"
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerCrashWatch.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerCrashWatch.kt
@@ -1,14 +1,14 @@
 package io.apricotslip.gateway.exchange
 
-import io.apricotslip.api.id.PromptPartId
+import io.apricotslip.api.id.RequestTrait
 import io.apricotslip.gateway.observe.DecisionLog
 import io.apricotslip.gateway.observe.GatewayMetrics
-import io.apricotslip.serving.crash.PromptQuarantine
+import io.apricotslip.serving.crash.RequestQuarantine
 import io.apricotslip.serving.fleet.Fleet
 import io.apricotslip.serving.fleet.Server
 
 /**
- * Tells crashes of backend servers from lost connections, and reports the prompts that had no answer to [quarantine].
+ * Tells crashes of backend servers from lost connections, and reports the requests that had no answer to [quarantine].
  *
  * When a server closes a connection before the answer, it is asked for another connection: only a process that is gone
  * refuses it. Servers that announced their end are left out.
@@ -17,7 +17,7 @@
  */
 internal class ServerCrashWatch(
     private val fleet: Fleet,
-    private val quarantine: PromptQuarantine,
+    private val quarantine: RequestQuarantine,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     private val now: () -> Long,
@@ -25,35 +25,43 @@
 ) {
     private enum class State { PROBING, CRASHED }
 
-    private class Suspicion(var state: State, val parts: LinkedHashMap<PromptPartId, Int>)
+    private class Suspicion(var state: State, val since: Long, val traits: LinkedHashMap<RequestTrait, Int>)
 
     private val suspicions = HashMap<Server, Suspicion>()
 
-    /** Handles that [server] closed the connection of a prompt with [parts] before its answer. */
-    fun onClosedBeforeAnswer(server: Server, parts: List<PromptPartId>) {
-        if (parts.isEmpty() || fleet[server.id] !== server || server.leavingSince != null) return
+    /**
+     * Handles that [server] closed the connection of a request with [traits], which was sent at [sentAt], before its
+     * answer.
+     */
+    fun onClosedBeforeAnswer(server: Server, traits: RequestTraits, sentAt: Long) {
+        if (fleet[server.id] !== server || server.leavingSince != null) return
         val suspicion = suspicions[server]
-        val indexed = parts.withIndex().associate { (position, part) -> part to position }
-        if (suspicion == null) return startProbe(server, indexed)
-        suspicion.parts += indexed
-        if (suspicion.state == State.CRASHED) recordCrash(server, indexed)
+        // Sent after the crash, to a process that was gone already.
+        if (suspicion != null && sentAt > suspicion.since) return
+        val positions = traits.positions()
+        if (suspicion == null) return startProbe(server, positions)
+        suspicion.traits += positions
+        if (suspicion.state == State.CRASHED) recordCrash(server, positions)
     }
 
-    /** Forgets servers that are gone; returns whether a part was put into quarantine since the last call. */
+    /** Forgets servers that are gone; returns whether a trait was put into quarantine since the last call. */
     fun tick(now: Long): Boolean {
         suspicions.keys.removeIf { fleet[it.id] !== it }
         val changes = quarantine.tick(now)
-        changes.lifted.forEach { log.write { "event=quarantine_lifted part=$it" } }
+        changes.lifted.forEach { log.write { "event=quarantine_lifted ${named(it)}" } }
         for (added in changes.added) {
             log.write {
-                "event=quarantined part=${added.part} count=${added.count} evidence_age_ms=${added.evidenceAgeMillis}"
+                "event=quarantined ${named(added.trait)} count=${added.count} " +
+                    "evidence_age_ms=${added.evidenceAgeMillis}"
             }
         }
         return changes.added.isNotEmpty()
     }
 
-    private fun startProbe(server: Server, parts: Map<PromptPartId, Int>) {
-        val suspicion = Suspicion(State.PROBING, LinkedHashMap(parts))
+    private fun named(trait: RequestTrait) = if (trait.isWholeRequest) "digest=$trait" else "part=$trait"
+
+    private fun startProbe(server: Server, traits: Map<RequestTrait, Int>) {
+        val suspicion = Suspicion(State.PROBING, now(), LinkedHashMap(traits))
         suspicions[server] = suspicion
         probe(server.entry.host, server.entry.port) { refused ->
             if (!refused) {
@@ -62,12 +70,13 @@
             }
             suspicion.state = State.CRASHED
             metrics.recordServerCrash()
-            recordCrash(server, suspicion.parts)
+            recordCrash(server, suspicion.traits)
         }
     }
 
-    private fun recordCrash(server: Server, parts: Map<PromptPartId, Int>) {
-        log.write { "event=server_crashed server=${server.id} unanswered_parts=${parts.keys}" }
-        quarantine.recordCrash(server.id, server.entry.startedAtMillis, parts, now())
+    private fun recordCrash(server: Server, traits: Map<RequestTrait, Int>) {
+        val (digests, parts) = traits.keys.partition(RequestTrait::isWholeRequest)
+        log.write { "event=server_crashed server=${server.id} unanswered_parts=$parts unanswered_digests=$digests" }
+        quarantine.recordCrash(server.id, server.entry.startedAtMillis, server.entry.service, traits, now())
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/observe/GatewayGauges.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/observe/GatewayGauges.kt
@@ -1,8 +1,9 @@
 package io.apricotslip.gateway.observe
 
+import io.apricotslip.api.id.RequestTrait
 import io.apricotslip.gateway.exchange.ExchangeRouter
 import io.apricotslip.gateway.server.ServerConnectionPool
-import io.apricotslip.serving.crash.PromptQuarantine
+import io.apricotslip.serving.crash.RequestQuarantine
 import io.apricotslip.serving.fleet.Fleet
 import io.apricotslip.serving.member.FleetExchange
 import io.apricotslip.serving.order.OrderClaims
@@ -26,9 +27,13 @@
         metrics.gauge("apricotslip_server_connections", "Connections opened.") { pool.openedCount.toDouble() }
     }
 
-    fun registerQuarantine(metrics: GatewayMetrics, quarantine: PromptQuarantine, now: () -> Long) {
+    fun registerQuarantine(metrics: GatewayMetrics, quarantine: RequestQuarantine, now: () -> Long) {
+        val active = { quarantine.activeTraits(now()) }
+        metrics.gauge("apricotslip_quarantined_requests", "Whole requests in quarantine.") {
+            active().count(RequestTrait::isWholeRequest).toDouble()
+        }
         metrics.gauge("apricotslip_quarantined_parts", "Prompt parts in quarantine.") {
-            quarantine.activeParts(now()).size.toDouble()
+            active().count { !it.isWholeRequest }.toDouble()
         }
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/peer/PeerReports.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/peer/PeerReports.kt
@@ -7,7 +7,7 @@
 import io.apricotslip.api.peer.StoreProgress
 import io.apricotslip.gateway.PublishedState
 import io.apricotslip.gateway.order.OrderCoordinator
-import io.apricotslip.serving.crash.PromptQuarantine
+import io.apricotslip.serving.crash.RequestQuarantine
 import io.apricotslip.serving.fleet.AdapterDemand
 import io.apricotslip.serving.fleet.Fleet
 import io.apricotslip.serving.fleet.Server
@@ -19,7 +19,7 @@
 /** Fills the reports of this node from its state, and applies those of other nodes to it. */
 internal class PeerReports(
     private val fleet: Fleet,
-    private val quarantine: PromptQuarantine,
+    private val quarantine: RequestQuarantine,
     private val traffic: TrafficMeter,
     private val published: () -> PublishedState,
     private val orders: () -> OrderCoordinator,
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/AnswerTimes.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/AnswerTimes.kt
@@ -1,9 +1,9 @@
 package io.apricotslip.serving.crash
 
-import io.apricotslip.api.id.PromptPartId
+import io.apricotslip.api.id.RequestTrait
 
 /**
- * The latest answer to a prompt with each part; keeps the [capacity] parts that were answered last.
+ * The latest answer to a request with each trait; keeps the [capacity] traits that were answered last.
  *
  * Nodes tell each other the age of an answer, which leaves out the time on the way. An answer that is known keeps its
  * time, else it would seem later with each exchange, and in the end later than a crash that it came before.
@@ -12,18 +12,18 @@
     /** An answer at [at]; [id] is the same at all nodes. */
     class Answer(val at: Long, val id: Int)
 
-    private val answers = LinkedHashMap<PromptPartId, Answer>()
+    private val answers = LinkedHashMap<RequestTrait, Answer>()
 
-    operator fun get(part: PromptPartId): Long? = answers[part]?.at
+    operator fun get(trait: RequestTrait): Long? = answers[trait]?.at
 
-    fun latest(part: PromptPartId): Answer? = answers[part]
+    fun latest(trait: RequestTrait): Answer? = answers[trait]
 
     /** Records the answer [id] at [at] unless it, or a later one, is known; returns whether it did. */
-    fun put(part: PromptPartId, at: Long, id: Int): Boolean {
-        val known = answers[part]
+    fun put(trait: RequestTrait, at: Long, id: Int): Boolean {
+        val known = answers[trait]
         if (known != null && (known.id == id || known.at >= at)) return false
-        answers.remove(part)
-        answers[part] = Answer(at, id)
+        answers.remove(trait)
+        answers[trait] = Answer(at, id)
         if (answers.size > capacity) answers.remove(answers.keys.first())
         return true
     }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/CrashAttribution.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/CrashAttribution.kt
@@ -1,62 +1,104 @@
 package io.apricotslip.serving.crash
 
-import io.apricotslip.api.id.PromptPartId
+import io.apricotslip.api.id.RequestTrait
 
 /**
- * Decides which part of a prompt crashes servers.
+ * Decides which trait of requests crashes servers: a part of their prompts, or one whole request that comes again.
  *
- * Workload: servers crash, and each time several prompts have no answer yet. A part that crashes servers is in all of
- * them and is never answered, while parts beside it are answered elsewhere sooner or later, or are in fewer crashes.
- * Crashes for other reasons have no part in common; when nothing at all is answered, the servers are at fault.
+ * Workload: servers crash, and each time several requests have no answer yet. The cause is in all of them and is never
+ * answered, while what is beside it is answered elsewhere sooner or later, or is in fewer crashes. Crashes for other
+ * reasons have nothing in common; when nothing at all is answered, the servers are at fault.
  */
-internal object CrashAttribution {
-    /** Stands for a part that is in every prompt. */
-    val ANY_PROMPT = PromptPartId("*")
+public object CrashAttribution {
+    /** Position of a whole request among its traits: it is in fewer other requests than any of its parts. */
+    public const val WHOLE_REQUEST_POSITION: Int = 1_000
+
+    /** Position of what stands for all requests, which is the least likely cause. */
+    internal const val ANY_REQUEST_POSITION = -1
+
+    /** What [rank] found: [trait] is the most suspicious, and [tied] are as suspicious as it. */
+    internal class Suspicion(
+        val trait: RequestTrait,
+        val crashes: Int,
+        val tied: Set<RequestTrait>,
+        val nothingAnswered: Boolean,
+    ) {
+        /** Whether the crashes suffice to blame [trait]. */
+        val proven: Boolean
+            get() = !nothingAnswered && crashes >= if (tied.isEmpty()) MIN_CRASHES else MIN_CRASHES_WHEN_TIED
+
+        /** All traits that may be the cause, once there is more than coincidence; empty before. */
+        val suspects: Set<RequestTrait>
+            get() = if (nothingAnswered || crashes < MIN_CRASHES) emptySet() else tied + trait
+    }
 
     private class Candidate(
-        val part: PromptPartId,
+        val trait: RequestTrait,
         val records: List<CrashRecord>,
         val crashes: Int,
         val answeredAt: Long?,
     ) {
-        val position = records.maxOf { it.parts.getValue(part) }
+        val position = records.maxOf { it.traits.getValue(trait) }
 
-        fun sharesCrash(other: Candidate) = other !== this && records.any { other.part in it.parts }
+        /** Whether nothing was answered since the crash [record] although other requests were under way. */
+        fun isOutage(record: CrashRecord): Boolean {
+            val others = !trait.isWholeRequest || record.traits.keys.any { it.isWholeRequest && it != trait }
+            return others && record.traits.keys.any(RequestTrait::isAnyRequest)
+        }
+
+        fun sharesCrash(other: Candidate) = other !== this && records.any { other.trait in it.traits }
     }
 
     /** Most suspicious first: in the most crashes, and never answered before. */
     private val suspicion = compareByDescending<Candidate> { it.crashes }.thenBy { it.answeredAt ?: Long.MIN_VALUE }
 
-    /** Of equally suspicious parts the last one in its prompt is in the fewest other prompts. */
+    /** Of equally suspicious traits the last one of its request is in the fewest other requests. */
     private val order = suspicion.thenByDescending { it.position }
 
     /**
-     * The part that explains [records], or null when they do not tell.
+     * The most suspicious trait in [records]; null when they have none.
+     *
+     * A crash that a whole request explains still counts against what was as suspicious as that request, once it is in
+     * a crash that nothing explains: a part of several requests, each of which came more than once.
      *
-     * @param answeredAt time of the last answer to a prompt with a part.
-     * @param repeatOffender whether a part was in quarantine before; one crash is enough then.
+     * @param answeredAt time of the last answer to a request with a trait.
+     * @param repeatOffender whether a trait was in quarantine before; one crash is enough then.
      */
-    fun culprit(
+    internal fun rank(
         records: Collection<CrashRecord>,
-        answeredAt: (PromptPartId) -> Long?,
-        repeatOffender: (PromptPartId) -> Boolean,
-    ): PromptPartId? {
-        val candidates = records.flatMapTo(HashSet()) { it.parts.keys }
-            .map { part ->
-                val extra = if (repeatOffender(part)) 1 else 0
-                val withPart = records.filter { part in it.parts }
-                Candidate(part, withPart, separateCrashes(withPart) + extra, answeredAt(part))
+        answeredAt: (RequestTrait) -> Long?,
+        repeatOffender: (RequestTrait) -> Boolean,
+    ): Suspicion? {
+        val unexplained = records.filter { it.cause == null }
+        val explainedByRequest = records.filter { it.cause?.isWholeRequest == true }
+        val candidates = unexplained.flatMapTo(LinkedHashSet()) { it.traits.keys }
+            .filterNot(RequestTrait::isAnyRequest)
+            .map { trait ->
+                val withTrait = unexplained.filter { trait in it.traits }
+                val earlier = explainedByRequest.filter { trait in it.traits && it.cause != trait }
+                val extra = if (repeatOffender(trait)) 1 else 0
+                Candidate(trait, withTrait, crashCount(trait, withTrait + earlier) + extra, answeredAt(trait))
             }
             .sortedWith(order)
         val first = candidates.firstOrNull() ?: return null
-        val anyPrompt = candidates.find { it.part == ANY_PROMPT }
-        if (anyPrompt != null && anyPrompt.crashes >= first.crashes) return null
-        val tied = candidates.any { first.sharesCrash(it) && suspicion.compare(first, it) == 0 }
-        val needed = if (tied) MIN_CRASHES_WHEN_TIED else MIN_CRASHES
-        return first.part.takeIf { first.crashes >= needed }
+        val tied = candidates.filter { first.sharesCrash(it) && suspicion.compare(first, it) == 0 }
+        val unanswered = first.records.filter { first.isOutage(it) }
+        return Suspicion(
+            trait = first.trait,
+            crashes = first.crashes,
+            tied = tied.mapTo(HashSet()) { it.trait },
+            nothingAnswered = crashCount(first.trait, unanswered) >= first.crashes,
+        )
     }
 
-    /** The number of [records] less those at the same time, which have a cause in common, such as a rack. */
+    /**
+     * The number of [records] that count against [trait]. Servers of one rack crash at the same time, and different
+     * requests with a common part are at several of them; one request is not.
+     */
+    private fun crashCount(trait: RequestTrait, records: List<CrashRecord>): Int =
+        if (trait.isWholeRequest) records.size else separateCrashes(records)
+
+    /** The number of [records] less those at the same time as another one. */
     private fun separateCrashes(records: List<CrashRecord>): Int {
         var count = 0
         var last: Long? = null
@@ -68,10 +110,10 @@
         return count
     }
 
-    /** One crash may have any reason; two with the same unanswered part are hardly a coincidence. */
+    /** One crash may have any reason; two with the same unanswered trait are hardly a coincidence. */
     private const val MIN_CRASHES = 2
 
-    /** A prompt beside the cause may be sent again to the same server, and be in two crashes with it. */
+    /** A request beside the cause may be sent again to the same server, and be in two crashes with it. */
     private const val MIN_CRASHES_WHEN_TIED = 3
 
     /** Nodes see a crash within a few milliseconds of each other; a slow one takes longer. */
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/QuarantineList.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/QuarantineList.kt
@@ -1,74 +1,76 @@
 package io.apricotslip.serving.crash
 
-import io.apricotslip.api.id.PromptPartId
-import io.apricotslip.api.peer.CrashEvidence.QuarantinedPart
+import io.apricotslip.api.id.RequestTrait
+import io.apricotslip.api.peer.CrashEvidence.QuarantinedTrait
 
-/** The parts that are in quarantine, or were lately. Each quarantine of the same part lasts twice as long. */
+/** The traits that are in quarantine, or were lately. Each quarantine of the same trait lasts twice as long. */
 internal class QuarantineList {
     private class Entry(val count: Int, val at: Long, val evidenceAt: Long) {
         val until: Long = at + minOf(FIRST_MILLIS shl minOf(count - 1, MAX_DOUBLINGS), MAX_MILLIS)
     }
 
-    private val entries = LinkedHashMap<PromptPartId, Entry>()
-    private val added = LinkedHashSet<PromptPartId>()
-    private val lifted = LinkedHashSet<PromptPartId>()
+    private val entries = LinkedHashMap<RequestTrait, Entry>()
+    private val added = LinkedHashSet<RequestTrait>()
+    private val lifted = LinkedHashSet<RequestTrait>()
 
-    fun contains(part: PromptPartId): Boolean = part in entries
+    val isEmpty: Boolean get() = entries.isEmpty()
 
-    fun active(now: Long): Set<PromptPartId> = entries.filterValues { it.until > now }.keys
+    fun contains(trait: RequestTrait): Boolean = trait in entries
 
-    /** Whether [part] was in quarantine and its time is over. */
-    fun lapsed(part: PromptPartId, now: Long): Boolean = entries[part]?.let { it.until <= now } ?: false
+    fun active(now: Long): Set<RequestTrait> = entries.filterValues { it.until > now }.keys
 
-    fun remainingMillis(part: PromptPartId, now: Long): Long = entries[part]?.let { it.until - now } ?: 0
+    /** Whether [trait] was in quarantine and its time is over. */
+    fun lapsed(trait: RequestTrait, now: Long): Boolean = entries[trait]?.let { it.until <= now } ?: false
 
-    /** Whether a crash at [at] with [part] among its prompts needs no other explanation. */
-    fun explains(part: PromptPartId, at: Long): Boolean = entries[part]?.let { at < it.until } ?: false
+    fun remainingMillis(trait: RequestTrait, now: Long): Long = entries[trait]?.let { it.until - now } ?: 0
 
-    fun add(part: PromptPartId, evidenceAt: Long, now: Long) {
-        put(part, Entry(minOf((entries[part]?.count ?: 0) + 1, MAX_COUNT), now, evidenceAt))
+    /** Whether a crash at [at] with [trait] needs no other explanation. */
+    fun explains(trait: RequestTrait, at: Long): Boolean = entries[trait]?.let { at < it.until } ?: false
+
+    fun add(trait: RequestTrait, evidenceAt: Long, now: Long) {
+        put(trait, Entry(minOf((entries[trait]?.count ?: 0) + 1, MAX_COUNT), now, evidenceAt))
     }
 
-    /** Ends the quarantine of [part] if it was answered after the crashes that it rests on; returns whether it did. */
-    fun clear(part: PromptPartId, answeredAt: Long): Boolean {
-        val entry = entries[part] ?: return false
+    /** Ends the quarantine of [trait] if it was answered after the crashes that it rests on; returns whether it did. */
+    fun clear(trait: RequestTrait, answeredAt: Long): Boolean {
+        val entry = entries[trait] ?: return false
         if (answeredAt <= entry.evidenceAt) return false
-        entries.remove(part)
-        if (!added.remove(part)) lifted.add(part)
+        entries.remove(trait)
+        if (!added.remove(trait)) lifted.add(trait)
         return true
     }
 
-    /** Merges an entry of another node; returns the part if it was answered since, so that the entry is void. */
-    fun merge(other: QuarantinedPart, answeredAt: Long?, now: Long): PromptPartId? {
-        val age = PromptQuarantine.validAge(other.ageMillis)
-        val evidenceAge = PromptQuarantine.validAge(other.evidenceAgeMillis)
+    /** Merges an entry of another node; returns the trait if it was answered since, so that the entry is void. */
+    fun merge(other: QuarantinedTrait, answeredAt: Long?, now: Long): RequestTrait? {
+        val age = RequestQuarantine.validAge(other.ageMillis)
+        val evidenceAge = RequestQuarantine.validAge(other.evidenceAgeMillis)
         val entry = Entry(other.count.coerceIn(1, MAX_COUNT), now - age, now - evidenceAge)
         if (answeredAt != null && answeredAt > entry.evidenceAt) {
-            clear(other.part, answeredAt)
-            return other.part
+            clear(other.trait, answeredAt)
+            return other.trait
         }
-        val known = entries[other.part]
+        val known = entries[other.trait]
         val newer = known == null || entry.count > known.count
-        if (newer || (entry.count == known.count && entry.at < known.at)) put(other.part, entry, isNew = newer)
+        if (newer || (entry.count == known.count && entry.at < known.at)) put(other.trait, entry, isNew = newer)
         return null
     }
 
     /** What changed since the last call. */
-    fun takeChanges(now: Long): PromptQuarantine.Changes {
+    fun takeChanges(now: Long): RequestQuarantine.Changes {
         entries.values.removeIf { now - it.until > MEMORY_MILLIS }
-        val active = toMessages(now).filter { it.part in added && remainingMillis(it.part, now) > 0 }
-        val changes = PromptQuarantine.Changes(active, lifted.toList())
+        val active = toMessages(now).filter { it.trait in added && remainingMillis(it.trait, now) > 0 }
+        val changes = RequestQuarantine.Changes(active, lifted.toList())
         added.clear()
         lifted.clear()
         return changes
     }
 
-    fun toMessages(now: Long): List<QuarantinedPart> =
-        entries.map { (part, entry) -> QuarantinedPart(part, entry.count, now - entry.at, now - entry.evidenceAt) }
+    fun toMessages(now: Long): List<QuarantinedTrait> =
+        entries.map { (trait, entry) -> QuarantinedTrait(trait, entry.count, now - entry.at, now - entry.evidenceAt) }
 
-    private fun put(part: PromptPartId, entry: Entry, isNew: Boolean = true) {
-        entries[part] = entry
-        if (isNew) added.add(part)
+    private fun put(trait: RequestTrait, entry: Entry, isNew: Boolean = true) {
+        entries[trait] = entry
+        if (isNew) added.add(trait)
         if (entries.size > MAX_ENTRIES) entries.remove(entries.minBy { it.value.until }.key)
     }
 
@@ -79,10 +81,10 @@
         const val MAX_DOUBLINGS = 6
         const val MAX_COUNT = 1_000
 
-        /** Time for which a part that crashed servers is put back into quarantine after a single crash. */
+        /** Time for which a trait that crashed servers is put back into quarantine after a single crash. */
         const val MEMORY_MILLIS = 3_600_000L
 
-        /** Bounds the size of a report; more parts than were ever at fault at once. */
+        /** Bounds the size of a report; more traits than were ever at fault at once. */
         const val MAX_ENTRIES = 32
     }
 }
