End a node that cannot listen on one of its ports

Cause: the exception ended main() but not the process, and that of the port for other nodes was lost on the event loop.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -119,12 +119,15 @@
     /** Number of nodes of the fleet, as far as known. */
     public fun nodeCount(): Int = exchange.size(now())
 
-    /** Starts to listen and to connect to peers; blocks until the listening sockets are bound. */
+    /**
+     * Starts to listen and to connect to peers; blocks until the listening sockets are bound. Throws an
+     * [java.io.IOException] if a port cannot be had; the gateway is of no use then.
+     */
     public fun start() {
         readinessEndpoint.start(options.readyHost, options.readyPort)
         options.metricsPort?.let { metricsEndpoint.start(options.readyHost, it) }
         callers.start(options.callerHost, options.callerPort)
-        loop.execute(peerLinks::start)
+        loop.submit(peerLinks::start).sync()
         val report = guarded("report") { peerLinks.send(exchange.tick(now())) }
         val tick = guarded("tick", ::tick)
         // One timer for both: each wake-up of the process costs processor time.
