--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/CrashAttribution.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/CrashAttribution.kt
@@ -16,7 +16,7 @@
     /** Position of what stands for all requests, which is the least likely cause. */
     internal const val ANY_REQUEST_POSITION = -1
 
-    /** What [rank] found: [trait] is the most suspicious, [tied] tells whether others are as suspicious as it. */
+    /** What [rank] found: [trait] is the most suspicious, in [records]; those of [tied] are as suspicious. */
     internal class Suspicion(
         val trait: RequestTrait,
         val records: Collection<CrashRecord>,
@@ -52,7 +52,7 @@
          */
         val evidence = if (trait.isWholeRequest) servers else separateCrashes
 
-        /** How much of [evidence] is no evidence, as nothing was answered since although other requests were sent. */
+        /** Crashes in [evidence] after which nothing of the service was answered, though other requests were sent. */
         val outages: Int = unexplained.filter(::isOutage).let {
             if (trait.isWholeRequest) it.size else separateCrashes(it)
         }
