Share the check for answers of another server, and remove what nothing calls

ServerResponseMetadata.announcement repeated the check that TriedServers makes of the server that answered; both call isOfOtherThan now. AnswerTimes.get had no caller left. No behaviour changes and no test was touched.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
@@ -37,9 +37,12 @@
     public val impliesNotExecuted: Boolean
         get() = !notExecuted && !misdirected && status in NOT_EXECUTED_STATUSES
 
+    /** Whether another server than [asked], the one that was asked, responded. */
+    internal fun isOfOtherThan(asked: BackendServerId): Boolean = serverId != null && serverId != asked.value
+
     /** What the response says about [asked], the server that was asked; null when another server responded. */
     public fun announcement(asked: BackendServerId): ServerAnnouncement? {
-        if (serverId != null && serverId != asked.value) return null
+        if (isOfOtherThan(asked)) return null
         return ServerAnnouncement(leaving, pauseMillis, maxRequestsPerSecond, liftsLimit = signed)
     }
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/TriedServers.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/TriedServers.kt
@@ -45,9 +45,8 @@
 
     /** Records that [server] stated in [head] that it did not execute the request. */
     fun recordNotExecuted(server: Server, head: ServerResponseMetadata, now: Long) {
-        val answeredByOther = head.serverId != null && head.serverId != server.id.value
         when {
-            answeredByOther -> {
+            head.isOfOtherThan(server.id) -> {
                 server.health.recordUnreachable(now)
                 exclude(server)
             }
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/AnswerTimes.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/crash/AnswerTimes.kt
@@ -14,8 +14,6 @@
 
     private val answers = LinkedHashMap<RequestTrait, Answer>()
 
-    operator fun get(trait: RequestTrait): Long? = answers[trait]?.at
-
     fun latest(trait: RequestTrait): Answer? = answers[trait]
 
     /** Records the answer [id] at [at] unless it, or a later one, is known; returns whether it did. */
