--- a/review/standins/Run.java
+++ b/review/standins/Run.java
@@ -195,6 +195,11 @@
             process.destroy();
         }
 
+        /** Kills the process. */
+        void kill() {
+            process.destroyForcibly();
+        }
+
         private String settings() {
             StringBuilder seedList = new StringBuilder();
             for (String seed : seeds) seedList.append(seedList.length() == 0 ? "" : ",").append("\"").append(seed)
