Let requests that have nowhere else to go on wait for a silent server

Cause: silence counted as an end. A node ended every request at a server that was silent for 0.9 to 1.5 s, except those that are executed at most once, and only then asked whether the request could go on. Ruled out by the log: a step of the planned stop (no time_up, and the same without a stop) and TCP keepalive (no connection failed).

Change: SilenceWatch takes a request away only if Detour finds the way on (route, attempts, retry budget, an open server of its version, or another node) and the server there was heard after the silence began. Everything else waits for its answer, its deadline, its caller or keepalive. Orders no longer inherit the limit of an earlier request on their connection.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -179,7 +179,7 @@
         loop = loop,
         now = ::now,
         dialect = dialect,
-        servers = ExchangeContext.Servers(fleet, pool, loadRequester::request, crashWatch, announcements, help),
+        servers = ExchangeContext.Servers(fleet, pool, loadRequester::request, crashWatch, announcements, help, prober),
         rules = ExchangeContext.Rules(
             engines = EngineSelector(options.zone, loadEstimator, ::canLoadAdapters),
             plain = PlainServerSelector(options.zone),
@@ -246,7 +246,7 @@
         callers.closeExpired()
         readinessEndpoint.closeExpired()
         pool.closeExpired()
-        exchanges.failSilentRequests(fleet.all, pool, now)
+        exchanges.silence.tick(now)
     }
 
     /** Another node may have claimed the servers of this node while this process was paused. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -11,10 +11,11 @@
     private val exchange: Exchange,
     private val context: ExchangeContext,
     private val forwarder: ResponseForwarder,
-    private val server: Server,
+    val server: Server,
     private val connection: HttpConnection,
     private val requestId: String?,
     private val sentAt: Long,
+    private val estimateMillis: Long,
 ) : ResponseListener {
     private sealed class State {
         /** The response head has not arrived. */
@@ -34,9 +35,28 @@
     private var discardedBytes = 0L
     private var eventCount = 0
 
+    /** Time of the last byte from the server, or of the request, in milliseconds of the monotonic clock. */
+    val lastActiveAt: Long
+        get() = connection.lastActiveAt
+
+    /** Longest time without a byte that is expected of a sound server now, in milliseconds. */
+    val maxSilenceMillis: Long
+        get() = when (state) {
+            State.AwaitingHead -> exchange.silenceLimits.beforeFirstByte(estimateMillis)
+            State.Forwarding, is State.Discarding -> exchange.silenceLimits.betweenBytes
+        }
+
+    /** Ends the attempt for [reason]; the request goes on as after any other outcome that is unknown. */
+    fun fail(reason: String) = connection.fail(reason)
+
+    /** Ends the attempt without a further call of the exchange. */
+    fun abandon() = connection.abandon()
+
+    /** Pauses or resumes reading the response. */
+    fun setAutoRead(enabled: Boolean) = connection.setAutoRead(enabled)
+
     override fun onHead(response: HttpResponse): Boolean {
         server.health.recordBytes(context.now())
-        connection.maxSilenceMillis = exchange.silenceLimits.betweenBytes
         val head = context.dialect.parseServerResponse(response.status().code(), response.headers())
         if (head.requestId != requestId) {
             val other = head.requestId
@@ -66,7 +86,7 @@
     }
 
     /** Whether bytes arrive but no event has been complete for so long that the stream is not merely slow. */
-    private fun isStalled(): Boolean = exchange.isStream && connection.abandonOnSilence &&
+    private fun isStalled(): Boolean = exchange.isStream &&
         context.now() - maxOf(lastEventAt, sentAt) > exchange.silenceLimits.betweenEvents
 
     /** Discards a part of a body that is no answer; a server may send such bytes without end. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -5,6 +5,7 @@
 import io.apricotslip.gateway.caller.CallerListener
 import io.apricotslip.gateway.caller.CallerRequest
 import io.apricotslip.gateway.caller.CallerResponse
+import io.apricotslip.gateway.exchange.GatewayResponse.Companion.RETRY_AFTER_MILLIS
 import io.apricotslip.gateway.help.HandOver
 import io.apricotslip.gateway.server.HttpConnection
 import io.apricotslip.serving.crash.RequestStanding
@@ -45,13 +46,18 @@
     private val sendCheck = SendCheck(context, requestGate, continuity)
     val silenceLimits = SilenceLimits(route.targetLatencyMillis, route.targetGapMillis)
     private var reservation: Reservation? = null
-    private var connection: HttpConnection? = null
     private val counts = AttemptCounts(continuity.isTakenUp)
     private var finished = false
     private val handOver = HandOver(context, request, response, metadata, route, deadlineAt)
+    val detour =
+        Detour(context, route, service, placement, timing, counts, triedServers, handOver, sendCheck, forwarder)
+
+    /** The attempt in progress; null while the request is at no server. */
+    var attempt: Attempt? = null
+        private set
     private val deadlineTimer =
         context.loop.schedule(::endUnfinished, deadlineAt - context.now(), TimeUnit.MILLISECONDS)
-    private val runsOnce = route.kind == RouteKind.AT_MOST_ONCE
+    val runsOnce = route.kind == RouteKind.AT_MOST_ONCE
     val isStream = route.kind == RouteKind.STREAM
     val timings = AnswerTimings(context, route, request.arrivedAt)
     private val progress get() = counts.progress(forwarder.started)
@@ -67,13 +73,13 @@
     override fun onCallerDisconnected() {
         handOver.successor?.onCallerDisconnected()
         if (finished) return
-        if (runsOnce) traits.keep() else connection?.abandon()
+        if (runsOnce) traits.keep() else attempt?.abandon()
         finish("caller_left", keepConnection = runsOnce)
     }
 
     override fun onWritabilityChanged(writable: Boolean) {
         handOver.successor?.onWritabilityChanged(writable)
-        connection?.setAutoRead(writable)
+        attempt?.setAutoRead(writable)
     }
 
     /** Selects a server and carries out the decision: sends the request, loads the adapter, waits or refuses. */
@@ -112,7 +118,7 @@
     private fun loadAdapter(decision: PlacementDecision.LoadAdapter) {
         val server = decision.server
         val adapter = metadata.adapter ?: return
-        if (counts.loadsExhausted) return refuse("load_failed", RETRY_AFTER_MILLIS)
+        if (counts.loadsExhausted) return refuse("load_failed")
         val loadRequest = placement.loadRequest(adapter, decision.queueMillis, timing, progress, context.now())
         counts.loadRequests++
         val reserved = reserve(server)
@@ -132,7 +138,7 @@
     }
 
     private fun releaseServer() {
-        connection = null
+        attempt = null
         reservation?.release()
     }
 
@@ -168,7 +174,7 @@
         log("unreachable", "server=${server.id} reason=\"$failure\"")
         triedServers.recordUnreachable(server, failure, context.now())
         reservation?.release()
-        if (triedServers.exhausted) return refuse("unreachable", RETRY_AFTER_MILLIS, unreachable = true)
+        if (triedServers.exhausted) return refuse("unreachable", unreachable = true)
         selectServer()
     }
 
@@ -180,9 +186,7 @@
             acquired.abandon()
             return if (obstacle != null) selectOther(server, obstacle) else refuse("no_time", 0)
         }
-        connection = acquired.also(triedServers::recordConnection)
-        acquired.abandonOnSilence = !runsOnce
-        acquired.maxSilenceMillis = silenceLimits.beforeFirstByte(estimateMillis)
+        triedServers.recordConnection(acquired)
         counts.dispatches++
         reservation?.onSent()
         val serverMetadata = placement.serverRequest(server, budgetMillis, forwarder.lastEventId, now)
@@ -190,8 +194,9 @@
         val event = "after_event=${forwarder.lastEventId} estimate_ms=$estimateMillis"
         log("sent", "server=${server.id} send=${counts.dispatches} $state $event")
         val headers = context.dialect.serverRequestHeaders(request.headers, serverMetadata)
-        val attempt = Attempt(this, context, forwarder, server, acquired, metadata.id, now)
-        acquired.send(request.method, request.uri, headers, request.body.retainedDuplicate(), attempt)
+        val sent = Attempt(this, context, forwarder, server, acquired, metadata.id, now, estimateMillis)
+        attempt = sent
+        acquired.send(request.method, request.uri, headers, request.body.retainedDuplicate(), sent)
         acquired.setAutoRead(response.isWritable)
     }
 
@@ -231,7 +236,7 @@
     fun endIfQuarantined() {
         val standing = requestGate.standing()
         if (finished || requestGate.answered || standing !is RequestStanding.Quarantined) return
-        if (connection != null) counts.executions++
+        if (attempt != null) counts.executions++
         refuse("quarantined", standing.millis)
     }
 
@@ -250,8 +255,7 @@
         selectServer()
     }
 
-    private fun endWithoutRetry() =
-        if (counts.executions > 0) endAsLost("repeat budget") else refuse("repeat_budget", RETRY_AFTER_MILLIS)
+    private fun endWithoutRetry() = if (counts.executions > 0) endAsLost("repeat budget") else refuse("repeat_budget")
 
     /** Ends a request that may have been executed and whose response was lost. */
     private fun endAsLost(reason: String) {
@@ -260,7 +264,7 @@
     }
 
     /** Ends a request that has not been executed and will not be. */
-    private fun refuse(reason: String, retryAfterMillis: Long, unreachable: Boolean = false) {
+    private fun refuse(reason: String, retryAfterMillis: Long = RETRY_AFTER_MILLIS, unreachable: Boolean = false) {
         if (passOn(reason, unreachable)) return
         if (counts.executions > 0 || forwarder.started) return endAsLost(reason)
         context.metrics.recordRefusal(reason)
@@ -271,7 +275,7 @@
     /** Ends the request at its deadline, or at the end of the node. */
     fun endUnfinished() {
         if (finished) return
-        val sent = connection?.also { it.abandon() } != null
+        val sent = attempt?.also(Attempt::abandon) != null
         if (sent || counts.executions > 0) gatewayResponse.sendTimeout() else gatewayResponse.sendNotExecuted(0)
         finish("time_up sent=$sent", keepConnection = false)
     }
@@ -280,7 +284,7 @@
         if (finished) return
         finished = true
         deadlineTimer.cancel(false)
-        if (!keepConnection) connection?.abandon()
+        if (!keepConnection) attempt?.abandon()
         releaseServer()
         forwarder.release()
         request.body.release()
@@ -291,9 +295,4 @@
 
     private fun log(event: String, detail: String) =
         context.log.write { "event=$event request=${metadata.id} route=${route.name} $detail" }
-
-    private companion object {
-        /** The duration of a few adapter loads. */
-        const val RETRY_AFTER_MILLIS = 400L
-    }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeContext.kt
@@ -3,6 +3,7 @@
 import io.apricotslip.api.id.ServiceId
 import io.apricotslip.gateway.Dialect
 import io.apricotslip.gateway.help.FleetHelp
+import io.apricotslip.gateway.help.ServerProber
 import io.apricotslip.gateway.observe.DecisionLog
 import io.apricotslip.gateway.observe.GatewayMetrics
 import io.apricotslip.gateway.peer.StreamExchange
@@ -62,6 +63,7 @@
         val crashWatch: ServerCrashWatch,
         val announcements: AnnouncementRecorder,
         val help: FleetHelp,
+        val prober: ServerProber,
     )
 
     /** The policies that select a server for a request and limit its retries. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeRouter.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ExchangeRouter.kt
@@ -7,8 +7,6 @@
 import io.apricotslip.gateway.caller.CallerRequest
 import io.apricotslip.gateway.caller.CallerResponse
 import io.apricotslip.gateway.help.PassedOnRequest
-import io.apricotslip.gateway.server.ServerConnectionPool
-import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.state.Route
 import io.apricotslip.serving.state.RouteKind
 import io.apricotslip.serving.stream.StreamContinuation
@@ -28,6 +26,9 @@
     val openCount: Int
         get() = context.openCount
 
+    /** Requests at servers that are silent. */
+    val silence = SilenceWatch(context.openRequests, context.servers.prober::confirm)
+
     private val startupQueue = StartupQueue(context.loop, serving = ::serve, refusing = ::refuseNotReady)
 
     override fun handle(request: CallerRequest, response: CallerResponse): CallerListener {
@@ -122,22 +123,6 @@
         context.help.open.toList().forEach(PassedOnRequest::endUnfinished)
     }
 
-    /** Fails requests on connections that have been silent for too long, and puts silent servers into backoff. */
-    fun failSilentRequests(servers: Collection<Server>, pool: ServerConnectionPool, now: Long) {
-        for (server in servers) {
-            val silent = pool.busyConnections(server.id).filter {
-                it.busy && it.abandonOnSilence && now - it.lastActiveAt > it.maxSilenceMillis
-            }
-            if (silent.isEmpty()) continue
-            val heardFrom = server.health.lastHeardAt
-            val serverSilent = silent.filter { now - heardFrom > it.maxSilenceMillis }
-            if (serverSilent.isNotEmpty()) server.health.recordUnreachable(now)
-            // While other connections work, one may pause longer: the engine may have reclaimed its memory.
-            val longSilent = silent.filter { now - it.lastActiveAt > MAX_CONNECTION_SILENCE_MILLIS }
-            (serverSilent + longSilent).distinct().forEach { it.fail("server silent") }
-        }
-    }
-
     private fun refuse(
         response: CallerResponse,
         metadata: RequestMetadata,
@@ -158,8 +143,5 @@
 
         /** About the time in which a node that was cut off from the others may learn what began a stream. */
         const val LOST_STREAM_RETRY_MILLIS = 500L
-
-        /** One stream may pause while others of the same engine continue, when the engine has reclaimed its memory. */
-        const val MAX_CONNECTION_SILENCE_MILLIS = 2_000L
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/GatewayResponse.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/GatewayResponse.kt
@@ -37,8 +37,11 @@
     private fun send(status: HttpResponseStatus, retryAfterMillis: Long?, declineToken: String? = null) =
         EmptyResponse.send(context, response, requestId, status, retryAfterMillis, declineToken)
 
-    private companion object {
+    companion object {
+        /** Delay before a retry when no better estimate is known, in milliseconds: a few adapter loads. */
+        const val RETRY_AFTER_MILLIS = 400L
+
         /** Jitter as a ratio of the retry delay, so that callers that are refused together do not return together. */
-        const val RETRY_JITTER_RATIO = 0.4
+        private const val RETRY_JITTER_RATIO = 0.4
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Placement.kt
@@ -40,7 +40,7 @@
 
     /** Selects a server at [now], outside [excluded]. */
     fun choose(excluded: Set<BackendServerId>, timing: Timing, progress: Progress, now: Long): PlacementDecision {
-        val servers = context.servers.fleet.usable(service, now).filter(continuity::allows)
+        val servers = usableServers(now)
         val share = context.rules.traffic.share(now)
         val limited = servers.filterNot { it.requestLimit.available(share, now) }
         val full = servers.filterNot { it.hasRoom(share, now) }
@@ -57,6 +57,19 @@
         return PlacementDecision.Refuse(PlacementDecision.Reason.LIMITED, delayMillis)
     }
 
+    /**
+     * The decision for a request that may have been executed, if it had to go on at [now] outside [excluded]. Unlike
+     * [choose] it takes no turn in the schedule of returns, so that it may be asked without being carried out.
+     */
+    fun chooseAlternative(excluded: Set<BackendServerId>, timing: Timing, now: Long): PlacementDecision {
+        val servers = usableServers(now)
+        val share = context.rules.traffic.share(now)
+        val closed = servers.filterNot { it.requestLimit.available(share, now) && it.hasRoom(share, now) }
+        return choose(servers, excluded + closed.map { it.id }, timing, Progress.STARTED, now)
+    }
+
+    private fun usableServers(now: Long) = context.servers.fleet.usable(service, now).filter(continuity::allows)
+
     /**
      * The decision when the servers that could answer are brittle and this node's share of their places is taken. A
      * request waits here, not there, for as long as it can still be in time.
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/help/HandOver.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/help/HandOver.kt
@@ -29,15 +29,20 @@
      * @param unreachable whether the request found no server here, although others may.
      */
     fun tryStart(executions: Int, answerBegun: Boolean, unreachable: Boolean): Boolean {
-        val refused = unreachable && context.help.reach.refusesNewConnections &&
-            context.help.helpers.isAvailable(context.now())
-        if (!context.help.isWanted && !refused) return false
-        val repeatable = executions == 0 || (route.retryable && executions < route.maxAttempts)
-        if (request.passedOnToken != null || answerBegun || !repeatable) return false
+        if (!isPossible(executions, answerBegun, unreachable)) return false
         // Servers that refuse connections may be down, and other nodes could do no better.
         val maxHelpers = if (context.help.isWanted) PassedOnRequest.MAX_HELPERS else 1
         successor =
             PassedOnRequest(context, request, response, metadata, route, deadlineAt, executions, maxHelpers).start()
         return true
     }
+
+    /** Whether [tryStart] would hand the request over. */
+    fun isPossible(executions: Int, answerBegun: Boolean, unreachable: Boolean = false): Boolean {
+        val refused = unreachable && context.help.reach.refusesNewConnections &&
+            context.help.helpers.isAvailable(context.now())
+        if (!context.help.isWanted && !refused) return false
+        val repeatable = executions == 0 || (route.retryable && executions < route.maxAttempts)
+        return request.passedOnToken == null && !answerBegun && repeatable
+    }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/help/PassedOnRequest.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/help/PassedOnRequest.kt
@@ -61,18 +61,27 @@
         connection?.setAutoRead(writable)
     }
 
-    /** Fails the connection to a helper that is not heard of any more, so that the request may go to another one. */
+    /** Fails the connection to a helper that is not heard of any more, if the request can go to another one. */
     fun failIfHelperSilent() {
         val current = connection ?: return
         val vm = helper?.vm ?: return
         val silent = context.now() - current.lastActiveAt > HELPER_SILENCE_MILLIS &&
             !help.helpers.isHeard(vm, HELPER_SILENCE_MILLIS, context.now())
-        if (silent && route.kind != RouteKind.AT_MOST_ONCE) current.fail("helper silent")
+        if (silent && canGoOn() && selectHelper() != null) current.fail("helper silent")
     }
 
+    private fun selectHelper(): Helper? =
+        if (tried.size < maxHelpers) help.helpers.select(tried, context.now()) else null
+
+    /** Whether the request may be executed once more although the helper that has got it may have had it executed. */
+    private fun canGoOn(): Boolean = !forwarder.started && route.retryable && mayHaveRun < route.maxAttempts &&
+        retryBudget().available(context.now(), context.nodeCount())
+
+    private fun retryBudget() = context.rules.retryBudget(route.targets.first().service)
+
     private fun passOn() {
         if (finished) return
-        val next = if (tried.size < maxHelpers) help.helpers.select(tried, context.now()) else null
+        val next = selectHelper()
         if (next == null) return refuse("no_helper")
         tried.add(next.vm)
         val opened = HttpConnection(context.now)
@@ -153,9 +162,7 @@
         if (finished) return
         forwarder.discardUnsent()
         log("helper_lost", "helper=${helper?.vm} reason=\"$reason\" started=${forwarder.started}")
-        val service = route.targets.first().service
-        val again = !forwarder.started && route.retryable && mayHaveRun < route.maxAttempts &&
-            context.rules.retryBudget(service).tryAcquire(context.now(), context.nodeCount())
+        val again = canGoOn() && retryBudget().tryAcquire(context.now(), context.nodeCount())
         if (again) passOn() else endAsLost(reason)
     }
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/help/ServerProber.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/help/ServerProber.kt
@@ -33,6 +33,9 @@
         open.shuffled().sortedBy { it.roomShare.isBrittle }.take(count).forEach { probe(it, onAnswer) }
     }
 
+    /** Probes [server], to learn whether it is heard. */
+    fun confirm(server: Server) = probe(server) { server.health.recordBytes(now()) }
+
     private fun probe(server: Server, onAnswer: () -> Unit) {
         val call = probeCall(server)
         val connection = HttpConnection(
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -55,12 +55,6 @@
     public var keepAliveMillis: Long? = null
         private set
 
-    /** Whether the request in progress may be abandoned when the server is silent. */
-    public var abandonOnSilence: Boolean = true
-
-    /** Longest time without a byte after which the request in progress may be abandoned, in milliseconds. */
-    public var maxSilenceMillis: Long = Long.MAX_VALUE
-
     /** Whether the server, and not this node, closed or reset the connection. */
     public var closedByServer: Boolean = false
         private set
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
@@ -60,10 +60,6 @@
         open(server, connections, done)
     }
 
-    /** Connections to [server] with a request in progress. */
-    public fun busyConnections(server: BackendServerId): Set<HttpConnection> =
-        connectionsByServer[server]?.busy.orEmpty()
-
     /** Closes the idle connections to [server] and removes it from the pool; requests in progress continue. */
     public fun removeServer(server: BackendServerId) {
         connectionsByServer.remove(server)?.let { connections ->
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/retry/SilenceLimits.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/retry/SilenceLimits.kt
@@ -3,7 +3,7 @@
 import kotlin.math.max
 
 /**
- * How long a backend server may be silent about one request before the request is taken elsewhere.
+ * How long a backend server may be silent about one request before the request is taken elsewhere, if it can go on.
  *
  * Workload: many nodes share each engine, so that a node often has a single request there. It then hears nothing while
  * that request waits for its turn, although the engine is sound, and cutting the request off would add to the load.
@@ -27,7 +27,7 @@
         /** Many times the pause between events of an engine in its usual pace. */
         const val MIN_LIMIT_MILLIS = 900L
 
-        /** A gap that is this much too long is more likely a lost connection than a slow engine. */
+        /** A gap that is this much too long is no gap of a slow engine; a lost connection and a pause look the same. */
         const val GAPS_PER_SILENCE = 6
 
         /** Callers give a stream up after the longest of these, per the platform's specification. */
