Bound the time that bytes in small pieces take from other requests

Cause: work that grew with the square of the pieces. EventSplitter nested one more buffer a piece and searched all of it again; plain answers and callers' bodies were kept as one buffer a piece. One connection could take a turn of the event loop for a megabyte of such chunks, and heads of answers to other requests counted for nothing.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerConnection.kt
@@ -1,7 +1,7 @@
 package io.apricotslip.gateway.caller
 
+import io.apricotslip.gateway.buffer.PieceCollector
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -28,7 +28,10 @@
     private val pending = ArrayDeque<Any>()
     private var state = State.IDLE
     private var head: HttpRequest? = null
-    private var body: CompositeByteBuf? = null
+    private val arriving = PieceCollector()
+
+    /** The whole body of the request that is served. */
+    private var body: ByteBuf? = null
     private var response: CallerResponse? = null
     private var listener: CallerListener? = null
     private var stateSince = 0L
@@ -135,12 +138,9 @@
         if (content.decoderResult().isFailure) return refuse(HttpResponseStatus.BAD_REQUEST, "unreadable body")
         val bytes = content.content().readableBytes()
         if (bytes > 0) {
-            val buffer = body ?: Unpooled.compositeBuffer(MAX_BODY_COMPONENTS).also { body = it }
-            if (buffer.readableBytes() + bytes > context.limits().maxBodyBytes) {
-                return refuseTooLarge()
-            }
+            if (arriving.size + bytes > context.limits().maxBodyBytes) return refuseTooLarge()
             if (!context.reserveBody(bytes.toLong())) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_MEMORY)
-            buffer.addComponent(true, content.content().retain())
+            arriving.add(content.content())
         }
         if (content is LastHttpContent) serve()
     }
@@ -151,7 +151,7 @@
         val keepAlive = HttpUtil.isKeepAlive(request)
         val newResponse = CallerResponse(channel, { keepAlive && !context.draining }, ::onResponseEnd)
         response = newResponse
-        val fullBody: ByteBuf = body ?: Unpooled.EMPTY_BUFFER
+        val fullBody = arriving.take().also { body = it }
         val call = CallerRequest(request.method(), request.uri(), request.headers(), fullBody, context.now())
         val newListener = context.handler.handle(call, newResponse)
         if (state == State.SERVING && response === newResponse) listener = newListener
@@ -194,16 +194,16 @@
     }
 
     private fun releaseBody() {
-        val buffer = body ?: return
+        val whole = body
         body = null
-        context.releaseBody(buffer.writerIndex().toLong())
-        buffer.release()
+        context.releaseBody((whole?.writerIndex() ?: arriving.size).toLong())
+        whole?.release()
+        arriving.discard()
     }
 
     private companion object {
         /** HTTP messages of pipelined requests that are queued before reading from the connection pauses. */
         const val MAX_PENDING_MESSAGES = 64
-        const val MAX_BODY_COMPONENTS = 1_024
 
         /** Time to receive a body, in addition to the time limit for the headers: allows 4 MiB over a slow network. */
         const val BODY_TIMEOUT_MILLIS = 10_000L
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerServer.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerServer.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.gateway.caller
 
+import io.apricotslip.gateway.buffer.FairReads
 import io.apricotslip.serving.state.CallerLimits
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
@@ -41,6 +42,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.SO_KEEPALIVE, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
             .childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
                 WriteBufferWaterMark(LOW_WATER_MARK_BYTES, HIGH_WATER_MARK_BYTES),
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/EventSplitter.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/EventSplitter.kt
@@ -1,12 +1,22 @@
 package io.apricotslip.gateway.exchange
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.Unpooled
 
 /** Splits an event stream into complete events and reads their ids; buffers the bytes of an incomplete event. */
 internal class EventSplitter {
     private var incomplete: ByteBuf = Unpooled.EMPTY_BUFFER
 
+    /** Start of the last line of [incomplete], whose end has not arrived. */
+    private var lineStart = 0
+
+    /** Bytes of [incomplete] that hold no further line end. */
+    private var searched = 0
+
+    /** Id that the incomplete event has named. */
+    private var pendingId: Long? = null
+
     /** Id of the last complete event that has one; null before the first. */
     var lastEventId: Long? = null
         private set
@@ -25,45 +35,49 @@
 
     /** Appends [bytes] and returns the bytes of the events that are now complete, or null when there are none. */
     fun append(bytes: ByteBuf): ByteBuf? {
-        val all = if (incomplete.isReadable) Unpooled.wrappedBuffer(incomplete, bytes.copy()) else bytes.copy()
-        incomplete = Unpooled.EMPTY_BUFFER
+        if (!incomplete.isReadable) incomplete = ByteBufAllocator.DEFAULT.buffer(bytes.readableBytes())
+        val all = incomplete.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes())
         val end = completeEventsEnd(all)
-        if (end == 0) {
-            incomplete = all
-            return null
+        if (end == 0) return null
+        incomplete = Unpooled.EMPTY_BUFFER
+        if (end < all.readableBytes()) {
+            val rest = all.readableBytes() - end
+            incomplete = ByteBufAllocator.DEFAULT.buffer(rest).writeBytes(all, end, rest)
         }
-        if (end == all.readableBytes()) return all
-        val complete = all.readRetainedSlice(end)
-        incomplete = all.readBytes(all.readableBytes())
-        all.release()
-        return complete
+        lineStart -= end
+        searched = incomplete.readableBytes()
+        return all.writerIndex(end)
     }
 
     /** Discards the buffered bytes. */
     fun reset() {
         incomplete.release()
         incomplete = Unpooled.EMPTY_BUFFER
+        lineStart = 0
+        searched = 0
+        pendingId = null
     }
 
+    /** Goes on with the search where it ended, so that the pieces of an event are not read again with each piece. */
     private fun completeEventsEnd(all: ByteBuf): Int {
         var end = 0
-        var lineStart = 0
-        var id: Long? = null
         val size = all.readableBytes()
-        while (lineStart < size) {
-            val lineFeed = all.indexOf(lineStart, size, '\n'.code.toByte())
+        while (true) {
+            val lineFeed = all.indexOf(searched, size, '\n'.code.toByte())
             if (lineFeed < 0) break
             val length = lineLength(all, lineStart, lineFeed)
             if (length == 0) {
                 end = lineFeed + 1
                 eventCount++
-                if (id != null) lastEventId = id
-                id = null
+                lastEventId = pendingId ?: lastEventId
+                pendingId = null
             } else {
-                id = parseId(all, lineStart, length) ?: id
+                pendingId = parseId(all, lineStart, length) ?: pendingId
             }
             lineStart = lineFeed + 1
+            searched = lineStart
         }
+        searched = size
         return end
     }
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ResponseForwarder.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ResponseForwarder.kt
@@ -1,12 +1,11 @@
 package io.apricotslip.gateway.exchange
 
+import io.apricotslip.gateway.buffer.PieceCollector
 import io.apricotslip.gateway.caller.CallerResponse
 import io.apricotslip.gateway.server.HttpConnection
 import io.apricotslip.serving.state.Route
 import io.apricotslip.serving.state.RouteKind
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
@@ -28,7 +27,7 @@
     private var status: HttpResponseStatus = HttpResponseStatus.OK
     private var headers: HttpHeaders? = null
     private var contentType: String? = null
-    private var buffered: CompositeByteBuf? = null
+    private val buffered = PieceCollector()
     private var connection: HttpConnection? = null
 
     /** Whether a part of the response was sent to the caller. */
@@ -83,11 +82,9 @@
             forward(bytes.copy())
             return true
         }
-        val buffer = buffered ?: Unpooled.compositeBuffer(MAX_BUFFER_COMPONENTS).also { buffered = it }
-        buffer.addComponent(true, bytes.copy())
-        if (buffer.readableBytes() <= MAX_BUFFERED_BYTES) return false
-        buffered = null
-        forward(buffer)
+        buffered.add(bytes)
+        if (buffered.size <= MAX_BUFFERED_BYTES) return false
+        forward(buffered.take())
         return true
     }
 
@@ -99,17 +96,14 @@
             return
         }
         if (started) return response.finish()
-        val body = buffered ?: Unpooled.EMPTY_BUFFER
-        buffered = null
-        response.sendFull(status, headers ?: CallerResponse.newHeaders(), body)
+        response.sendFull(status, headers ?: CallerResponse.newHeaders(), buffered.take())
         started = true
     }
 
     /** Discards what was not sent to the caller, after the server's response broke off. */
     fun discardUnsent() {
         splitter.reset()
-        buffered?.release()
-        buffered = null
+        buffered.discard()
     }
 
     /** Frees the buffers. */
@@ -133,6 +127,5 @@
     private companion object {
         /** Larger than any non-streaming response of the services in the deployment profiles. */
         const val MAX_BUFFERED_BYTES = 65_536
-        const val MAX_BUFFER_COMPONENTS = 64
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/Connector.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/Connector.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.gateway.server
 
+import io.apricotslip.gateway.buffer.FairReads
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
@@ -44,6 +45,7 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_PROBE_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_PROBE_SECONDS)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -163,9 +163,7 @@
         if (response.decoderResult().isFailure) return fail("unreadable answer")
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingResponse = response.status() != HttpResponseStatus.SWITCHING_PROTOCOLS
-            skippedBytes += MIN_HEAD_BYTES
-            if (skippedBytes > MAX_SKIPPED_BYTES) fail("too many interim answers")
-            return
+            return recordSkipped(MIN_HEAD_BYTES)
         }
         endsWithConnection =
             !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
@@ -173,17 +171,23 @@
         readKeepAliveTimeout(response.headers())
         receivingResponse = listener?.onHead(response) ?: false
         skippingResponse = !receivingResponse
-        if (skippingResponse) reusable = false
+        if (!skippingResponse) return
+        reusable = false
+        recordSkipped(MIN_HEAD_BYTES)
+    }
+
+    /** Counts [bytes] that are no answer to the request; a faulty server may send them without end. */
+    private fun recordSkipped(bytes: Long) {
+        skippedBytes += bytes
+        if (skippedBytes > MAX_SKIPPED_BYTES) fail("more than $MAX_SKIPPED_BYTES bytes that are no answer")
     }
 
     private fun receiveContent(content: HttpContent) {
         val last = content is LastHttpContent
         if (content.decoderResult().isFailure) return fail("answer cut off")
         if (skippingResponse) {
-            skippedBytes += content.content().readableBytes()
             if (last) skippingResponse = false
-            if (skippedBytes > MAX_SKIPPED_BYTES) fail("more than $MAX_SKIPPED_BYTES bytes that are no answer")
-            return
+            return recordSkipped(content.content().readableBytes().toLong())
         }
         if (!receivingResponse) return fail("body without a head")
         if (content.content().isReadable) listener?.onBody(content.content())
@@ -211,7 +215,7 @@
         /** A second copy of the longest answer that is not a stream fits. */
         const val MAX_SKIPPED_BYTES = 131_072L
 
-        /** Bytes that the head of an interim response counts for. */
+        /** Bytes that the head of a response counts for that is skipped. */
         const val MIN_HEAD_BYTES = 128L
         const val KEEP_ALIVE_HEADER = "Keep-Alive"
         val TIMEOUT_PARAMETER = Regex("timeout=(\\d+)")
