--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ServerResponseMetadata.kt
@@ -35,6 +35,10 @@
     public val success: Boolean
         get() = status in 200..299
 
+    /** Whether callers read the response as "not executed". */
+    internal val statesNotExecuted: Boolean
+        get() = notExecuted || misdirected || status in NOT_EXECUTED_STATUSES
+
     /** Whether callers would read [status] as "not executed" although the server does not state that. */
     public val impliesNotExecuted: Boolean
         get() = !notExecuted && !misdirected && status in NOT_EXECUTED_STATUSES
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/help/PassedOnRequest.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/help/PassedOnRequest.kt
@@ -117,16 +117,20 @@
     private inner class Answer(private val from: Helper, private val opened: HttpConnection) : ResponseListener {
         private var declined = false
 
+        /** Whether the helper states that the request was not executed, which holds for the helper alone. */
+        private var refusedAfterRun = false
+
         override fun onHead(response: HttpResponse): Boolean {
             val head = context.dialect.parseServerResponse(response.status().code(), response.headers())
             if (head.requestId != metadata.id) return false
             declined = PassedOnHeaders.isDeclined(response.headers(), from.token)
-            if (!declined) forwarder.onHead(response, opened)
+            refusedAfterRun = !declined && head.statesNotExecuted && mayHaveRun > 1
+            if (!declined && !refusedAfterRun) forwarder.onHead(response, opened)
             return true
         }
 
         override fun onBody(bytes: ByteBuf) {
-            if (declined) return
+            if (declined || refusedAfterRun) return
             forwarder.onBody(bytes)
             if (forwarder.unsound) opened.fail("event without end")
         }
@@ -136,6 +140,7 @@
             opened.abandon()
             when {
                 declined -> onDeclined(from)
+                refusedAfterRun -> endAsLost(REFUSED_AFTER_RUN)
                 forwarder.endsInsideEvent -> onBroken("stream not complete")
                 else -> {
                     forwarder.complete()
@@ -146,7 +151,11 @@
 
         override fun onFailure(reason: String) {
             connection = null
-            if (declined) onDeclined(from) else onBroken(reason)
+            when {
+                declined -> onDeclined(from)
+                refusedAfterRun -> endAsLost(REFUSED_AFTER_RUN)
+                else -> onBroken(reason)
+            }
         }
     }
 
@@ -211,6 +220,8 @@
         /** Several reports of a node. */
         private const val HELPER_SILENCE_MILLIS = 1_000L
 
+        private const val REFUSED_AFTER_RUN = "refused by the helper, but may have been executed before"
+
         /** About the time until a node that can help is heard of. */
         private const val RETRY_AFTER_MILLIS = 500L
     }
