Do not join the answers of two runs when a long one breaks off

A caller could get the first part of one run and then the whole answer of another as one complete 200 (MIXED).

Cause: an answer that is longer than 64 KiB and no stream is forwarded as it arrives. When it broke off, a repeatable request was sent again, and the second answer followed the first part. Found by reading, while Detour was written; nobody reported it, and answers of the sites are shorter.

Change: another run goes on only if nothing was sent yet, or where the events of a stream tell the place.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Detour.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Detour.kt
@@ -39,5 +39,6 @@
     }
 
     private fun isRepeatable(): Boolean =
-        route.retryable && counts.executions + 1 < route.maxAttempts && !counts.retriesExhausted
+        route.retryable && counts.executions + 1 < route.maxAttempts && !counts.retriesExhausted &&
+            forwarder.canContinue
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -229,7 +229,8 @@
         val runs = "runs=${counts.executions} event=${forwarder.lastEventId} $traits"
         log("broken", "server=${server.id} reason=\"$reason\" $runs")
         if (finished) return
-        if (route.retryable && counts.executions < route.maxAttempts) retry("broken") else endAsLost(reason)
+        val repeatable = route.retryable && counts.executions < route.maxAttempts && forwarder.canContinue
+        if (repeatable) retry("broken") else endAsLost(reason)
     }
 
     /** Ends the request at once if it waits for an answer and has been put into quarantine. */
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ResponseForwarder.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/ResponseForwarder.kt
@@ -58,9 +58,13 @@
     val forwardsEvents: Boolean
         get() = route.kind == RouteKind.STREAM && success
 
+    /** Whether another run can go on where this one breaks off: only the events of a stream tell where that is. */
+    val canContinue: Boolean
+        get() = !started || forwardsEvents
+
     /** Whether a response with [head] can go on where the response that was begun broke off: it has the same type. */
     fun canContinueWith(head: HttpResponse): Boolean =
-        !started || head.headers().get(HttpHeaderNames.CONTENT_TYPE) == contentType
+        !started || (forwardsEvents && head.headers().get(HttpHeaderNames.CONTENT_TYPE) == contentType)
 
     /** Handles a response head; when a stream resumes on another server, the head of the first server is kept. */
     fun onHead(head: HttpResponse, from: HttpConnection) {
