Log bytes from servers that belong to no response

Responses are decoded by a decoder of our own, which the connection adds to its pipeline, and bytes that arrive without a request that waits for them are logged as event=stray_bytes and counted in apricotslip_stray_bytes. What becomes of them is as before.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -72,7 +72,10 @@
     private val connector = Connector(loop)
     private val help: FleetHelp =
         FleetHelp(options.self, options.zone, options.callerPort, connector, log, ::now, ::isReady)
-    private val pool = ServerConnectionPool(connector, ::now, help.reach)
+    private val pool = ServerConnectionPool(connector, ::now, help.reach) { server, reason ->
+        metrics.recordStrayBytes()
+        log.write { "event=stray_bytes server=$server reason=\"$reason\"" }
+    }
     private val announcements = AnnouncementRecorder(log, ::now)
     private val streams = StreamExchange(loop, fleet, exchange, ::isLinked, ::now) { peerLinks.send(it) }
     private val published: PublishedState =
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/observe/GatewayMetrics.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/observe/GatewayMetrics.kt
@@ -17,6 +17,8 @@
     private val orders = counter("apricotslip_server_orders", "Orders to backend servers.", "order", "result")
     private val storeCalls = counter("apricotslip_store_calls", "Calls to the platform's store.", "call", "result")
     private val crashes = counter("apricotslip_server_crashes", "Crashes of servers with unanswered prompts.")
+    private val strayBytes =
+        counter("apricotslip_stray_bytes", "Times that bytes arrived from a server that belong to no response.")
     private val takenUpStreams =
         counter("apricotslip_taken_up_streams", "Streams that callers took up, by whether they go on.", "continuation")
     private val firstByte = Histogram.builder()
@@ -45,6 +47,9 @@
     /** Counts a crash of a backend server. */
     public fun recordServerCrash(): Unit = crashes.inc()
 
+    /** Counts bytes from a backend server that belong to no response. */
+    public fun recordStrayBytes(): Unit = strayBytes.inc()
+
     /** Counts a stream that a caller took up. */
     public fun recordTakenUpStream(continuation: StreamContinuation) {
         val label = when (continuation) {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/Connector.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/Connector.kt
@@ -12,8 +12,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
-import io.netty.handler.codec.http.HttpDecoderConfig
 import jdk.net.ExtendedSocketOptions
 import java.net.ConnectException
 
@@ -54,14 +52,8 @@
 
     private class ConnectionInitializer(private val connection: HttpConnection) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(codec(), connection)
+            channel.pipeline().addLast(connection)
         }
-
-        private fun codec() = HttpClientCodec(
-            HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setInitialBufferSize(HEADER_BUFFER_BYTES),
-            false,
-            false,
-        )
     }
 
     private companion object {
@@ -71,7 +63,5 @@
         /** Idle time before a TCP keepalive probe, and time between probes; whole seconds are the finest unit. */
         const val KEEPALIVE_PROBE_SECONDS = 1
         const val KEEPALIVE_PROBE_COUNT = 2
-        const val MAX_HEADER_BYTES = 32_768
-        const val HEADER_BUFFER_BYTES = 512
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
@@ -29,6 +30,7 @@
  * @param onClosed called when the connection was closed.
  * @param onSent called when a request is sent.
  * @param onBytes called when bytes arrive.
+ * @param onStray called with the reason when bytes arrive that belong to no response.
  */
 public class HttpConnection(
     private val now: () -> Long,
@@ -36,8 +38,10 @@
     private val onClosed: (HttpConnection) -> Unit = {},
     private val onSent: () -> Unit = {},
     private val onBytes: () -> Unit = {},
+    private val onStray: (reason: String) -> Unit = {},
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
+    private val decoder = ResponseDecoder({ busy && !responseComplete }, ::onStrayBytes)
     private var listener: ResponseListener? = null
     private var skippingResponse = false
     private var receivingResponse = false
@@ -83,6 +87,7 @@
         receivingResponse = false
         requestWritten = false
         responseComplete = false
+        decoder.respondsToHead = method == HttpMethod.HEAD
         lastActiveAt = now()
         onSent()
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, body, headers, NO_TRAILERS)
@@ -118,6 +123,7 @@
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
         lastActiveAt = now()
+        ctx.pipeline().addBefore(ctx.name(), null, HttpRequestEncoder()).addBefore(ctx.name(), null, decoder)
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
@@ -168,6 +174,10 @@
         ctx.fireChannelInactive()
     }
 
+    private fun onStrayBytes(bytes: Int) {
+        onStray("$bytes bytes ${if (busy) "after a complete response" else "while idle"}")
+    }
+
     private fun discardUnexpected() {
         reusable = false
         if (!responseComplete) channel.close()
--- /dev/null
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseDecoder.kt
@@ -0,0 +1,35 @@
+package io.apricotslip.gateway.server
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponseDecoder
+
+/**
+ * Decodes the responses on a connection to a server.
+ *
+ * @param expectsResponse whether the next byte may belong to a response.
+ * @param onStray receives the number of bytes that belong to no response.
+ */
+internal class ResponseDecoder(
+    private val expectsResponse: () -> Boolean,
+    private val onStray: (bytes: Int) -> Unit,
+) : HttpResponseDecoder(
+    HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setInitialBufferSize(HEADER_BUFFER_BYTES),
+) {
+    /** Whether the response expected is to a HEAD request, and has no body whatever its headers say. */
+    var respondsToHead: Boolean = false
+
+    override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (buffer.isReadable && !expectsResponse()) onStray(buffer.readableBytes())
+        super.decode(ctx, buffer, out)
+    }
+
+    override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean = respondsToHead || super.isContentAlwaysEmpty(msg)
+
+    private companion object {
+        const val MAX_HEADER_BYTES = 32_768
+        const val HEADER_BUFFER_BYTES = 512
+    }
+}
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
@@ -12,11 +12,13 @@
  * idle becomes the upper limit of the timeout that the pool assumes for the server.
  *
  * @param reach learns what the connections show of the links to servers.
+ * @param onStray called when bytes arrive from a server that belong to no response.
  */
 public class ServerConnectionPool(
     private val connector: Connector,
     private val now: () -> Long,
     private val reach: ServerReach = ServerReach(),
+    private val onStray: (server: BackendServerId, reason: String) -> Unit = { _, _ -> },
 ) {
     private class IdleConnection(val connection: HttpConnection, val server: BackendServerId, val idleSince: Long)
 
@@ -125,6 +127,7 @@
                 if (heard) reach.recordHeard(now()) else reach.recordNewConnectionHeard(now())
                 heard = true
             },
+            onStray = { onStray(id, it) },
         )
         reach.recordSent(now())
         connector.open(server.entry.host, server.entry.port, connection) { failure ->
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/HttpConnectionTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/HttpConnectionTest.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import org.junit.jupiter.api.DynamicTest
@@ -96,7 +95,7 @@
         Case("a head without end", List(20) { "X".repeat(500) }, listOf("failure"), reused = false),
         Case(
             "a header without end",
-            listOf("HTTP/1.1 200 OK\r\nId: ") + List(40) { "1".repeat(500) },
+            listOf("HTTP/1.1 200 OK\r\nId: ") + List(80) { "1".repeat(500) },
             listOf("failure"),
             reused = false,
         ),
@@ -126,7 +125,7 @@
         DynamicTest.dynamicTest(case.name) {
             var idleCount = 0
             val connection = HttpConnection({ 0L }, { idleCount++ })
-            val channel = EmbeddedChannel(HttpClientCodec(4_096, 8_192, 8_192, false, false), connection)
+            val channel = EmbeddedChannel(connection)
             val recorder = Recorder()
             connection.send(HttpMethod.GET, "/", DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, recorder)
             case.parts.forEach { if (channel.isOpen) channel.writeInbound(Unpooled.copiedBuffer(it, Charsets.UTF_8)) }
@@ -156,7 +155,7 @@
         nextCases.map { case ->
             DynamicTest.dynamicTest(case.name) {
                 val connection = HttpConnection({ 0L })
-                val channel = EmbeddedChannel(HttpClientCodec(4_096, 8_192, 8_192, false, false), connection)
+                val channel = EmbeddedChannel(connection)
                 val next = Recorder()
                 val first = object : ResponseListener by Recorder() {
                     override fun onComplete() {
@@ -182,7 +181,7 @@
             DynamicTest.dynamicTest(case.name) {
                 var idleCount = 0
                 val connection = HttpConnection({ 0L }, { idleCount++ })
-                val channel = EmbeddedChannel(HttpClientCodec(4_096, 8_192, 8_192, false, false), connection)
+                val channel = EmbeddedChannel(connection)
                 connection.get(
                     object : ResponseListener by Recorder() {
                         override fun onBody(bytes: ByteBuf) {
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/TextCallTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/TextCallTest.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpMethod
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
@@ -35,7 +34,7 @@
     fun `an outcome is taken only from the answer to the call`() = cases.map { case ->
         DynamicTest.dynamicTest(case.name) {
             val connection = HttpConnection({ 0L })
-            val channel = EmbeddedChannel(HttpClientCodec(4_096, 8_192, 8_192, false, false), connection)
+            val channel = EmbeddedChannel(connection)
             val outcomes = ArrayList<String>()
             val call = TextCall(HttpMethod.POST, "/order", DefaultHttpHeaders(), maxResponseBytes = 1_000) {
                 !it.contains("Id")
