End a connection to a server at the first byte that belongs to no response

Callers got a success where their server had answered a failure, with the id, seal and body of the server's answer. Cause: a connection saw only what the codec had parsed. A part of a second response, after a whole one, stayed in the codec; the connection counted as clean and idle, and the next response was joined to the part, whose status it got. Class: the state of a parser outlives its message.

The decoder now parses nothing while no response is expected: a byte after a complete response, in the same read or later, closes the connection.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -130,7 +130,8 @@
         try {
             lastActiveAt = now()
             onBytes()
-            if (listener == null || responseComplete) return discardUnexpected()
+            // The request failed in the middle of a read; the connection is being closed.
+            if (listener == null) return
             if (msg is HttpResponse) receiveHead(msg)
             if (msg is HttpContent) receiveContent(msg)
         } finally {
@@ -175,16 +176,15 @@
     }
 
     private fun onStrayBytes(bytes: Int) {
-        onStray("$bytes bytes ${if (busy) "after a complete response" else "while idle"}")
-    }
-
-    private fun discardUnexpected() {
+        lastActiveAt = now()
+        onBytes()
+        onStray("$bytes bytes ${if (responseComplete) "after a complete response" else "while idle"}")
         reusable = false
         if (!responseComplete) channel.close()
     }
 
     private fun receiveHead(response: HttpResponse) {
-        if (response.decoderResult().isFailure) return fail("unreadable answer")
+        ResponseHead.fault(response)?.let { return fail("unreadable answer: $it") }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingResponse = response.status() != HttpResponseStatus.SWITCHING_PROTOCOLS
             return recordSkipped(MIN_HEAD_BYTES)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseDecoder.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseDecoder.kt
@@ -9,8 +9,11 @@
 /**
  * Decodes the responses on a connection to a server.
  *
+ * Nothing is parsed while no response is expected: the decoder would keep a part of a message, and the next response
+ * would be joined to it.
+ *
  * @param expectsResponse whether the next byte may belong to a response.
- * @param onStray receives the number of bytes that belong to no response.
+ * @param onStray receives the number of bytes that belong to no response; they are dropped.
  */
 internal class ResponseDecoder(
     private val expectsResponse: () -> Boolean,
@@ -22,8 +25,10 @@
     var respondsToHead: Boolean = false
 
     override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
-        if (buffer.isReadable && !expectsResponse()) onStray(buffer.readableBytes())
-        super.decode(ctx, buffer, out)
+        if (expectsResponse()) return super.decode(ctx, buffer, out)
+        val bytes = buffer.readableBytes()
+        buffer.skipBytes(bytes)
+        if (bytes > 0) onStray(bytes)
     }
 
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean = respondsToHead || super.isContentAlwaysEmpty(msg)
