Look for unread input before a request goes on a kept connection

Bytes that a server sends after a response may wait in the socket while the event loop is busy, or because a read takes 16 KiB at most. A request that was sent before they were read met them as its response, and a request that may be executed once was lost on a connection that its server had closed meanwhile.

A connection that this node ended counts neither as broken by the server nor for its idle timeout.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/Connector.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/Connector.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
-import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
 import java.net.ConnectException
 
@@ -40,7 +39,7 @@
 
     private fun bootstrap(handler: ChannelHandler): Bootstrap = Bootstrap()
         .group(loop)
-        .channel(NioSocketChannel::class.java)
+        .channelFactory(::PeekableSocketChannel)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.gateway.server
 
+import io.apricotslip.gateway.server.PeekableSocketChannel.UnreadInput
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -63,7 +64,7 @@
     public var closedByServer: Boolean = false
         private set
 
-    /** Whether this node ended the connection while a request was in progress. */
+    /** Whether this node ended the connection. */
     public var endedHere: Boolean = false
         private set
 
@@ -79,6 +80,20 @@
     public val open: Boolean
         get() = ::channel.isInitialized && channel.isActive
 
+    /**
+     * Whether the connection can carry the next request. Input that has arrived while the event loop was busy would be
+     * read as the response to it; a connection that has such input is closed.
+     */
+    public fun isClean(): Boolean {
+        if (!open || busy) return false
+        when ((channel as? PeekableSocketChannel)?.findUnreadInput()) {
+            UnreadInput.BYTES -> onStrayBytes(1)
+            UnreadInput.END -> channel.close()
+            UnreadInput.NONE, null -> return true
+        }
+        return false
+    }
+
     /** Sends a request. Releases [body]. */
     public fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteBuf, listener: ResponseListener) {
         this.listener = listener
@@ -99,9 +114,8 @@
 
     /** Abandons the request and closes the connection, without another call of the listener. */
     public fun abandon() {
-        endedHere = true
         listener = null
-        channel.close()
+        closeHere()
     }
 
     /** Fails the request for [reason] and closes the connection. */
@@ -153,7 +167,7 @@
         val ended = listener
         listener = null
         val clean = reusable && requestWritten && channel.isActive
-        if (!clean) channel.close()
+        if (!clean) closeHere()
         ended?.onComplete()
         if (!clean || busy || !channel.isActive) return
         // Reading may be paused for a slow caller; an idle connection must show that the server closes it.
@@ -180,7 +194,12 @@
         onBytes()
         onStray("$bytes bytes ${if (responseComplete) "after a complete response" else "while idle"}")
         reusable = false
-        if (!responseComplete) channel.close()
+        if (!responseComplete) closeHere()
+    }
+
+    private fun closeHere() {
+        endedHere = true
+        channel.close()
     }
 
     private fun receiveHead(response: HttpResponse) {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
@@ -27,7 +27,7 @@
         val busy = HashSet<HttpConnection>()
         var opening = 0
         var idleTimeoutMillis = INITIAL_IDLE_TIMEOUT_MILLIS
-        val size: Int get() = idle.size + busy.size + opening
+        val size: Int get() = idle.count { it.connection.open } + busy.size + opening
     }
 
     private val connectionsByServer = HashMap<BackendServerId, ServerConnections>()
@@ -101,10 +101,12 @@
         avoid: Set<HttpConnection>,
     ): HttpConnection? {
         while (true) {
-            val newest = connections.idle.lastOrNull { it.connection !in avoid } ?: return null
+            val newest = connections.idle.lastOrNull { it.connection !in avoid && it.connection.open } ?: return null
             if (isExpired(connections, newest, timeoutShare)) return null
+            // One that is closed by the look at it leaves the pool in onClosed.
+            if (!newest.connection.isClean()) continue
             connections.idle.remove(newest)
-            if (newest.connection.open) return newest.connection
+            return newest.connection
         }
     }
 
@@ -153,6 +155,7 @@
         if (broken) if (heard) reach.recordBroken(server) else reach.recordRefused(server)
         val entry = connections.idle.find { it.connection === connection } ?: return
         connections.idle.remove(entry)
+        if (connection.endedHere) return
         val idleMillis = now() - entry.idleSince
         if (idleMillis > MIN_IDLE_TIMEOUT_MILLIS) {
             connections.idleTimeoutMillis = min(connections.idleTimeoutMillis, idleMillis)
