Give a request without an id, and a HEAD request, a connection of its own

A response is told from a late one to another request by its id alone. A request without an id took a response without one for its own, whosever it was; and the response to a HEAD request and a late one differ in where they end, which no header tells. Both now get a new connection that is not reused.

ServerConnectionPoolTest, an exclusive request: a new connection, closed after the response, also when the pool has as many connections as it may.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -15,6 +15,7 @@
 import io.apricotslip.serving.state.Route
 import io.apricotslip.serving.state.RouteKind
 import io.apricotslip.serving.state.ServiceSpec
+import io.netty.handler.codec.http.HttpMethod
 import java.util.concurrent.TimeUnit
 import kotlin.math.min
 
@@ -59,6 +60,9 @@
         context.loop.schedule(::endUnfinished, deadlineAt - context.now(), TimeUnit.MILLISECONDS)
     val runsOnce = route.kind == RouteKind.AT_MOST_ONCE
     val isStream = route.kind == RouteKind.STREAM
+
+    /** Whether nothing tells the response from one to another request, or where it ends if that is another one. */
+    private val exclusive = metadata.id == null || request.method == HttpMethod.HEAD
     val timings = AnswerTimings(context, route, request.arrivedAt)
     private val progress get() = counts.progress(forwarder.started)
 
@@ -154,7 +158,8 @@
         if (counts.dispatches > 0 && !budget.tryAcquire(context.now(), context.nodeCount())) return endWithoutRetry()
         val reserved = reservation
         val limit = placement.maxConnections()
-        context.servers.pool.acquire(server, limit, runsOnce, triedServers.usedConnections) { acquired, failure ->
+        val used = triedServers.usedConnections
+        context.servers.pool.acquire(server, limit, runsOnce, used, exclusive) { acquired, failure ->
             when {
                 finished || reservation !== reserved -> acquired?.abandon()
                 acquired == null -> onUnreachable(server, failure.orEmpty())
@@ -190,9 +195,9 @@
         counts.dispatches++
         reservation?.onSent()
         val serverMetadata = placement.serverRequest(server, budgetMillis, forwarder.lastEventId, now)
-        val state = "entry_age_ms=${now - server.entryReadAt} software=${server.entry.software}"
-        val event = "after_event=${forwarder.lastEventId} estimate_ms=$estimateMillis"
-        log("sent", "server=${server.id} send=${counts.dispatches} $state $event")
+        val entry = "entry_age_ms=${now - server.entryReadAt} software=${server.entry.software}"
+        val state = "$entry after_event=${forwarder.lastEventId} estimate_ms=$estimateMillis"
+        log("sent", "server=${server.id} send=${counts.dispatches} $state")
         val headers = context.dialect.serverRequestHeaders(request.headers, serverMetadata)
         val sent = Attempt(this, context, forwarder, server, acquired, metadata.id, now, estimateMillis)
         attempt = sent
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
@@ -42,24 +42,28 @@
      *
      * @param earlyExpiry whether an idle connection is reused only well before the server may close it.
      * @param avoid connections that are not reused.
+     * @param exclusive whether the request gets a new connection, which is not reused: what a server sends late in
+     * response to another request could not be told from the response to it.
      */
     public fun acquire(
         server: Server,
         limit: Int,
         earlyExpiry: Boolean,
         avoid: Set<HttpConnection> = emptySet(),
+        exclusive: Boolean = false,
         done: (connection: HttpConnection?, failure: String?) -> Unit,
     ) {
         val connections = connectionsTo(server)
         val timeoutShare = if (earlyExpiry) EARLY_REUSE_TIMEOUT_SHARE else REUSE_TIMEOUT_SHARE
-        val reused = takeIdle(connections, timeoutShare, avoid)
+        val reused = if (exclusive) null else takeIdle(connections, timeoutShare, avoid)
         if (reused != null) {
             connections.busy.add(reused)
             return done(reused, null)
         }
+        if (exclusive && connections.size >= limit) connections.idle.firstOrNull()?.connection?.abandon()
         if (connections.size >= limit) return done(null, CONNECTION_LIMIT)
         if (reach.avoidsNewConnections) return done(null, NEW_CONNECTIONS_REFUSED)
-        open(server, connections, done)
+        open(server, connections, exclusive, done)
     }
 
     /** Closes the idle connections to [server] and removes it from the pool; requests in progress continue. */
@@ -115,14 +119,19 @@
         return now() - entry.idleSince > timeoutMillis * timeoutShare
     }
 
-    private fun open(server: Server, connections: ServerConnections, done: (HttpConnection?, String?) -> Unit) {
+    private fun open(
+        server: Server,
+        connections: ServerConnections,
+        exclusive: Boolean,
+        done: (HttpConnection?, String?) -> Unit,
+    ) {
         connections.opening++
         openedCount++
         val id = server.id
         var heard = false
         val connection = HttpConnection(
             now,
-            onIdle = { onIdle(connections, id, it) },
+            onIdle = { if (exclusive) it.abandon() else onIdle(connections, id, it) },
             onClosed = { onClosed(connections, id, it, heard) },
             onSent = { reach.recordSent(now()) },
             onBytes = {
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/ServerConnectionPoolTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/ServerConnectionPoolTest.kt
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotSameInstanceAs
 import strikt.assertions.isSameInstanceAs
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -66,11 +67,11 @@
             return connection to accepted
         }
 
-        fun acquire(limit: Int = 8, before: () -> Unit = {}): HttpConnection {
+        fun acquire(exclusive: Boolean = false, limit: Int = 8, before: () -> Unit = {}): HttpConnection {
             val acquired = CompletableFuture<HttpConnection>()
             loop.execute {
                 before()
-                pool.acquire(server, limit, earlyExpiry = true) { connection, failure ->
+                pool.acquire(server, limit, earlyExpiry = true, exclusive = exclusive) { connection, failure ->
                     if (connection == null) acquired.completeExceptionally(IllegalStateException(failure))
                     acquired.complete(connection)
                 }
@@ -120,6 +121,18 @@
         }
     }
 
+    @Test
+    fun `an exclusive request gets a new connection, which is not reused, also at the limit`() {
+        Scene().use { scene ->
+            val (connection, _) = scene.idleConnection()
+            val exclusive = scene.acquire(exclusive = true, limit = 1)
+            expectThat(exclusive).isNotSameInstanceAs(connection)
+            scene.exchange(exclusive, scene.listening.accept())
+            loop.submit {}.get()
+            expectThat(exclusive.open).isEqualTo(false)
+        }
+    }
+
     @Test
     fun `other requests share a connection`() {
         Scene().use { scene ->
