Do not take the end of a connection that was reset for the end of a response

A response without a length ends with its connection. A failed write now fails such a response. A switch of protocols, which no request asks for, fails at once as well.

HttpConnectionTest, 'a response that ends with its connection is not complete if the connection was reset', without a length: failed before, passes now; with a length it is complete before and now.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.Future
 import java.io.IOException
 
 /**
@@ -109,7 +110,13 @@
         if (body.isReadable || method != HttpMethod.GET) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         }
-        channel.writeAndFlush(request).addListener { if (it.isSuccess) requestWritten = true }
+        channel.writeAndFlush(request).addListener(::onWritten)
+    }
+
+    private fun onWritten(write: Future<*>) {
+        requestWritten = write.isSuccess
+        // The close that follows is no end of a response that ends with its connection.
+        if (!write.isSuccess) failureReason = write.cause().message ?: write.cause().javaClass.simpleName
     }
 
     /** Abandons the request and closes the connection, without another call of the listener. */
@@ -204,8 +211,9 @@
 
     private fun receiveHead(response: HttpResponse) {
         ResponseHead.fault(response)?.let { return fail("unreadable answer: $it") }
+        if (response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return fail("answer without a request for it")
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            skippingResponse = response.status() != HttpResponseStatus.SWITCHING_PROTOCOLS
+            skippingResponse = true
             return recordSkipped(MIN_HEAD_BYTES)
         }
         endsWithConnection =
@@ -234,7 +242,7 @@
         }
         if (!receivingResponse) return fail("body without a head")
         if (content.content().isReadable) listener?.onBody(content.content())
-        if (last && failureReason == null) responseComplete = true
+        responseComplete = last && !(endsWithConnection && failureReason != null)
     }
 
     private fun endRequest(action: (ResponseListener) -> Unit) {
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/HttpConnectionTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/HttpConnectionTest.kt
@@ -2,14 +2,19 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOutboundHandlerAdapter
+import io.netty.channel.ChannelPromise
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.util.ReferenceCountUtil
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import java.io.IOException
 
 /**
  * Feeds the bytes of a backend server's responses, valid and invalid, into a connection.
@@ -91,6 +96,12 @@
             completeEvents,
             reused = false,
         ),
+        Case(
+            "a switch of protocols that was not asked for",
+            listOf("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", completeResponse),
+            listOf("failure"),
+            reused = false,
+        ),
         Case("not HTTP", listOf("\u0000\u0001garbage\r\n\r\n"), listOf("failure"), reused = false),
         Case("a head without end", List(20) { "X".repeat(500) }, listOf("failure"), reused = false),
         Case(
@@ -137,6 +148,34 @@
         }
     }
 
+    /** A response that arrives before a request is written as a whole, which then fails as the server resets the connection. */
+    private class ResetCase(val name: String, val response: String, val lastEvent: String)
+
+    @TestFactory
+    fun `a response that ends with its connection is not complete if the connection was reset`() = listOf(
+        ResetCase("without a length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart", "failure"),
+        ResetCase("with a length", completeResponse, "complete"),
+    ).map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            val connection = HttpConnection({ 0L })
+            val writes = ArrayList<ChannelPromise>()
+            val unfinishedWrites = object : ChannelOutboundHandlerAdapter() {
+                override fun write(ctx: ChannelHandlerContext, msg: Any, promise: ChannelPromise) {
+                    ReferenceCountUtil.release(msg)
+                    writes += promise
+                }
+            }
+            val channel = EmbeddedChannel(unfinishedWrites, connection)
+            val recorder = Recorder()
+            connection.get(recorder)
+            channel.writeInbound(Unpooled.copiedBuffer(case.response, Charsets.UTF_8))
+            writes.forEach { it.tryFailure(IOException("Connection reset")) }
+            channel.close()
+            expectThat(recorder.events.last()).isEqualTo(case.lastEvent)
+            channel.finishAndReleaseAll()
+        }
+    }
+
     /** What arrives for a first request, and whether the next one, sent as soon as that is answered, goes on its connection. */
     private class NextCase(val name: String, val first: String, val next: List<String>)
 
