Fail a request at once whose response is swallowed by another one

A second response that breaks off in its body takes the next response for the rest of that body: the request got a 504 after its whole time, though its server had answered, and what followed was read from the middle of a response. The start of a response in the body of a response that is skipped now fails the request at once, which goes on as after any response that got lost.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -52,6 +52,7 @@
     private var responseComplete = false
     private var failureReason: String? = null
     private var skippedBytes = 0L
+    private var skipped = ResponseStartSearch()
 
     /** Time of the last received byte or sent request, in milliseconds of the monotonic clock. */
     public var lastActiveAt: Long = 0
@@ -223,6 +224,7 @@
         receivingResponse = listener?.onHead(response) ?: false
         skippingResponse = !receivingResponse
         if (!skippingResponse) return
+        skipped = ResponseStartSearch()
         reusable = false
         recordSkipped(MIN_HEAD_BYTES)
     }
@@ -236,15 +238,22 @@
     private fun receiveContent(content: HttpContent) {
         val last = content is LastHttpContent
         if (content.decoderResult().isFailure) return fail("answer cut off")
-        if (skippingResponse) {
-            if (last) skippingResponse = false
-            return recordSkipped(content.content().readableBytes().toLong())
-        }
+        if (skippingResponse) return skip(content.content(), last)
         if (!receivingResponse) return fail("body without a head")
         if (content.content().isReadable) listener?.onBody(content.content())
         responseComplete = last && !(endsWithConnection && failureReason != null)
     }
 
+    /**
+     * Skips a part of the body of a response to another request. If that broke off, it takes the response to this request
+     * for the rest of its body, and what follows would be read from the middle.
+     */
+    private fun skip(bytes: ByteBuf, last: Boolean) {
+        if (skipped.isFoundIn(bytes)) return fail("unreadable answer: a response inside another one")
+        if (last) skippingResponse = false
+        recordSkipped(bytes.readableBytes().toLong())
+    }
+
     private fun endRequest(action: (ResponseListener) -> Unit) {
         val current = listener ?: return
         listener = null
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/BrokenSecondResponseTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/BrokenSecondResponseTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
+import strikt.assertions.isNotNull
 
 /**
  * Guards against a second response that breaks off, at any byte, and is joined to the next response on its connection
@@ -93,6 +94,24 @@
         }
     }
 
+    @TestFactory
+    fun `a request whose response is swallowed by a second response fails without waiting for its time limit`() =
+        Framing.values().flatMap { framing -> Framing.values().map { framing to it } }.map { (framing, nextFraming) ->
+            DynamicTest.dynamicTest("the second response in $framing, the next in $nextFraming") {
+                val connection = HttpConnection({ 0L })
+                val channel = EmbeddedChannel(connection)
+                connection.get(Recorder("1"))
+                channel.receive(response(OK, "1", "first", framing))
+                val next = Recorder("2")
+                connection.get(next)
+                channel.receive(response(OK, "1", "x".repeat(SWALLOWED_BYTES), framing).dropLast(SWALLOWED_BYTES))
+                response(OK, "2", NEXT_BODY, nextFraming).chunked(PIECE_BYTES).forEach { channel.receive(it) }
+                expectThat(next.failure).isNotNull()
+                expectThat(next.statuses).isEmpty()
+                channel.finishAndReleaseAll()
+            }
+        }
+
     private fun fault(case: Case, part: String): String? {
         val connection = HttpConnection({ 0L })
         val channel = EmbeddedChannel(connection)
@@ -139,6 +158,12 @@
         const val FAILED = "500 Internal Server Error"
         const val NEXT_BODY = "the next body"
 
+        /** Longer than the next response. */
+        const val SWALLOWED_BYTES = 400
+
+        /** Shorter than a status line. */
+        const val PIECE_BYTES = 5
+
         fun response(status: String, id: String?, body: String, framing: Framing): String {
             val length = if (framing == Framing.LENGTH) "Content-Length: ${body.length}" else "Transfer-Encoding: chunked"
             val head = listOfNotNull("HTTP/1.1 $status", "Server: a", id?.let { "Id: $it" }, "Seal: s$id", length)
