--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -61,7 +61,7 @@
     val runsOnce = route.kind == RouteKind.AT_MOST_ONCE
     val isStream = route.kind == RouteKind.STREAM
 
-    /** Whether nothing tells the response from one to another request, or where it ends if that is another one. */
+    /** Whether the response could not be told from a late one to another request on the same connection. */
     private val exclusive = metadata.id == null || request.method == HttpMethod.HEAD
     val timings = AnswerTimings(context, route, request.arrivedAt)
     private val progress get() = counts.progress(forwarder.started)
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -83,13 +83,13 @@
         get() = ::channel.isInitialized && channel.isActive
 
     /**
-     * Whether the connection can carry the next request. Input that has arrived while the event loop was busy would be
-     * read as the response to it; a connection that has such input is closed.
+     * Returns whether the connection can carry the next request. Input that has arrived while the event loop was busy
+     * would be read as the response to it; an idle connection that has such input is closed.
      */
-    public fun isClean(): Boolean {
+    public fun closeUnlessClean(): Boolean {
         if (!open || busy) return false
         when ((channel as? PeekableSocketChannel)?.findUnreadInput()) {
-            UnreadInput.BYTES -> onStrayBytes(1)
+            UnreadInput.BYTES -> onStray("unread bytes").also { closeHere() }
             UnreadInput.END -> channel.close()
             UnreadInput.NONE, null -> return true
         }
@@ -152,7 +152,6 @@
         try {
             lastActiveAt = now()
             onBytes()
-            // The request failed in the middle of a read; the connection is being closed.
             if (listener == null) return
             if (msg is HttpResponse) receiveHead(msg)
             if (msg is HttpContent) receiveContent(msg)
@@ -198,6 +197,8 @@
     }
 
     private fun onStrayBytes(bytes: Int) {
+        // The rest of a read in which the request failed; the connection is being closed.
+        if (endedHere) return
         lastActiveAt = now()
         onBytes()
         onStray("$bytes bytes ${if (responseComplete) "after a complete response" else "while idle"}")
@@ -211,7 +212,7 @@
     }
 
     private fun receiveHead(response: HttpResponse) {
-        ResponseHead.fault(response)?.let { return fail("unreadable answer: $it") }
+        ResponseHead.fault(response)?.let { return failUnreadable(it) }
         if (response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return fail("answer without a request for it")
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingResponse = true
@@ -224,11 +225,14 @@
         receivingResponse = listener?.onHead(response) ?: false
         skippingResponse = !receivingResponse
         if (!skippingResponse) return
+        if (endsWithConnection) return failUnreadable("a response to another request that ends with the connection")
         skipped = ResponseStartSearch()
         reusable = false
         recordSkipped(MIN_HEAD_BYTES)
     }
 
+    private fun failUnreadable(reason: String) = fail("unreadable answer: $reason")
+
     /** Counts [bytes] that are no answer to the request; a faulty server may send them without end. */
     private fun recordSkipped(bytes: Long) {
         skippedBytes += bytes
@@ -238,7 +242,8 @@
     private fun receiveContent(content: HttpContent) {
         val last = content is LastHttpContent
         if (content.decoderResult().isFailure) return fail("answer cut off")
-        if (skippingResponse) return skip(content.content(), last)
+        val trailers = (content as? LastHttpContent)?.trailingHeaders() ?: NO_TRAILERS
+        if (skippingResponse) return skip(content.content(), trailers, last)
         if (!receivingResponse) return fail("body without a head")
         if (content.content().isReadable) listener?.onBody(content.content())
         responseComplete = last && !(endsWithConnection && failureReason != null)
@@ -246,10 +251,10 @@
 
     /**
      * Skips a part of the body of a response to another request. If that broke off, it takes the response to this request
-     * for the rest of its body, and what follows would be read from the middle.
+     * for the rest of its body or for its trailers, and what follows would be read from the middle.
      */
-    private fun skip(bytes: ByteBuf, last: Boolean) {
-        if (skipped.isFoundIn(bytes)) return fail("unreadable answer: a response inside another one")
+    private fun skip(bytes: ByteBuf, trailers: HttpHeaders, last: Boolean) {
+        if (skipped.isFoundIn(bytes) || !trailers.isEmpty) return failUnreadable("a response inside another one")
         if (last) skippingResponse = false
         recordSkipped(bytes.readableBytes().toLong())
     }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseDecoder.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseDecoder.kt
@@ -15,12 +15,10 @@
  * @param expectsResponse whether the next byte may belong to a response.
  * @param onStray receives the number of bytes that belong to no response; they are dropped.
  */
-internal class ResponseDecoder(
-    private val expectsResponse: () -> Boolean,
-    private val onStray: (bytes: Int) -> Unit,
-) : HttpResponseDecoder(
-    HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setInitialBufferSize(HEADER_BUFFER_BYTES),
-) {
+internal class ResponseDecoder(private val expectsResponse: () -> Boolean, private val onStray: (bytes: Int) -> Unit) :
+    HttpResponseDecoder(
+        HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setInitialBufferSize(HEADER_BUFFER_BYTES),
+    ) {
     /** Whether the response expected is to a HEAD request, and has no body whatever its headers say. */
     var respondsToHead: Boolean = false
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseHead.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseHead.kt
@@ -1,9 +1,15 @@
 package io.apricotslip.gateway.server
 
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 
-/** Judges whether the head of a response is that of one response, and not of a part of one joined to the next. */
+/**
+ * Judges whether the head of a response is that of one response, and not of a part of one joined to the next.
+ *
+ * The first line of the next response shows wherever a part of a head ends: in the reason phrase, in a header's name or
+ * value, or as a line without a colon. A server that quotes a status line in a header is refused as well.
+ */
 internal object ResponseHead {
     private const val PROTOCOL = "HTTP/"
     private val STATUS_LINE = Regex("""HTTP/\d\.\d \d{3}""")
@@ -15,22 +21,23 @@
         return when {
             failure != null -> failure.message ?: failure.javaClass.simpleName
             response.protocolVersion() !in VERSIONS -> "version ${response.protocolVersion()}"
-            PROTOCOL in response.status().reasonPhrase() -> "status line in a reason phrase"
-            else -> headerFault(response)
+            holdsStatusLine(response.status().reasonPhrase()) -> "status line in a reason phrase"
+            else -> fault(response.headers())
         }
     }
 
-    /** The first line of the next response shows wherever a part of a head ends: in a name, a value or a line without a colon. */
-    private fun headerFault(response: HttpResponse): String? {
-        val headers = response.headers().iteratorCharSequence()
-        while (headers.hasNext()) {
-            val (name, value) = headers.next()
+    private fun fault(headers: HttpHeaders): String? {
+        val fields = headers.iteratorCharSequence()
+        while (fields.hasNext()) {
+            val (name, value) = fields.next()
             if (name.isEmpty() || !name.all(::isTokenCharacter)) return "header name \"$name\""
-            if (PROTOCOL in value && STATUS_LINE.containsMatchIn(value)) return "status line in header $name"
+            if (holdsStatusLine(value)) return "status line in header $name"
         }
         return null
     }
 
+    private fun holdsStatusLine(text: CharSequence): Boolean = PROTOCOL in text && STATUS_LINE.containsMatchIn(text)
+
     private fun isTokenCharacter(character: Char): Boolean =
         character in '0'..'9' || character in 'a'..'z' || character in 'A'..'Z' || character in "!#$%&'*+-.^_`|~"
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ServerConnectionPool.kt
@@ -28,6 +28,7 @@
         var opening = 0
         var idleTimeoutMillis = INITIAL_IDLE_TIMEOUT_MILLIS
         val size: Int get() = idle.count { it.connection.open } + busy.size + opening
+        val hasIdle: Boolean get() = idle.any { it.connection.open }
     }
 
     private val connectionsByServer = HashMap<BackendServerId, ServerConnections>()
@@ -60,9 +61,9 @@
             connections.busy.add(reused)
             return done(reused, null)
         }
-        if (exclusive && connections.size >= limit) connections.idle.firstOrNull()?.connection?.abandon()
-        if (connections.size >= limit) return done(null, CONNECTION_LIMIT)
+        if (connections.size >= limit && !(exclusive && connections.hasIdle)) return done(null, CONNECTION_LIMIT)
         if (reach.avoidsNewConnections) return done(null, NEW_CONNECTIONS_REFUSED)
+        if (connections.size >= limit) connections.idle.first { it.connection.open }.connection.abandon()
         open(server, connections, exclusive, done)
     }
 
@@ -108,7 +109,7 @@
             val newest = connections.idle.lastOrNull { it.connection !in avoid && it.connection.open } ?: return null
             if (isExpired(connections, newest, timeoutShare)) return null
             // One that is closed by the look at it leaves the pool in onClosed.
-            if (!newest.connection.isClean()) continue
+            if (!newest.connection.closeUnlessClean()) continue
             connections.idle.remove(newest)
             return newest.connection
         }
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/BrokenSecondResponseTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/BrokenSecondResponseTest.kt
@@ -165,10 +165,17 @@
         const val PIECE_BYTES = 5
 
         fun response(status: String, id: String?, body: String, framing: Framing): String {
-            val length = if (framing == Framing.LENGTH) "Content-Length: ${body.length}" else "Transfer-Encoding: chunked"
+            val length = if (framing ==
+                Framing.LENGTH
+            ) {
+                "Content-Length: ${body.length}"
+            } else {
+                "Transfer-Encoding: chunked"
+            }
             val head = listOfNotNull("HTTP/1.1 $status", "Server: a", id?.let { "Id: $it" }, "Seal: s$id", length)
             val chunks = if (body.isEmpty()) "" else "%x\r\n%s\r\n".format(body.length, body)
-            return head.joinToString("\r\n") + "\r\n\r\n" + if (framing == Framing.LENGTH) body else "${chunks}0\r\n\r\n"
+            return head.joinToString("\r\n") + "\r\n\r\n" +
+                if (framing == Framing.LENGTH) body else "${chunks}0\r\n\r\n"
         }
     }
 }
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/ServerConnectionPoolTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/ServerConnectionPoolTest.kt
@@ -6,6 +6,7 @@
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.fleet.ServerEntry
 import io.apricotslip.serving.published.StorePosition
+import io.apricotslip.serving.reach.ServerReach
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -31,17 +32,21 @@
 class ServerConnectionPoolTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
+
     @AfterEach
     fun close() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync()
     }
 
     /** A server that the test plays by hand, and a pool before it. */
-    private inner class Scene : AutoCloseable {
+    private inner class Scene(val reach: ServerReach = ServerReach()) : AutoCloseable {
         val listening = ServerSocket(0, 10, InetAddress.getByName("127.0.0.1")).apply { soTimeout = 5_000 }
         val strays = ArrayList<String>()
         val pool =
-            ServerConnectionPool(Connector(loop), { System.nanoTime() / 1_000_000 }) { _, reason -> strays += reason }
+            ServerConnectionPool(Connector(loop), { System.nanoTime() / 1_000_000 }, reach) { _, reason ->
+                strays +=
+                    reason
+            }
         val server = Server(
             ServerEntry(
                 id = BackendServerId("e"),
@@ -60,13 +65,14 @@
 
         /** A connection that has carried a request, with its end at the server. */
         fun idleConnection(): Pair<HttpConnection, Socket> {
-            val connection = acquire()
-            val accepted = listening.accept()
+            val (connection, accepted) = connection()
             exchange(connection, accepted)
-            loop.submit {}.get()
             return connection to accepted
         }
 
+        /** A new connection, with its end at the server. */
+        fun connection(): Pair<HttpConnection, Socket> = acquire() to listening.accept()
+
         fun acquire(exclusive: Boolean = false, limit: Int = 8, before: () -> Unit = {}): HttpConnection {
             val acquired = CompletableFuture<HttpConnection>()
             loop.execute {
@@ -88,6 +94,7 @@
             generateSequence { reader.readLine().takeIf { it.isNotEmpty() } }.count()
             accepted.getOutputStream().write(RESPONSE.toByteArray())
             expectThat(ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("complete")
+            loop.submit {}.get()
         }
     }
 
@@ -128,11 +135,49 @@
             val exclusive = scene.acquire(exclusive = true, limit = 1)
             expectThat(exclusive).isNotSameInstanceAs(connection)
             scene.exchange(exclusive, scene.listening.accept())
-            loop.submit {}.get()
             expectThat(exclusive.open).isEqualTo(false)
         }
     }
 
+    @Test
+    fun `two exclusive requests in one turn of the event loop both get a connection at the limit`() {
+        Scene().use { scene ->
+            val (first, firstEnd) = scene.connection()
+            val (second, secondEnd) = scene.connection()
+            scene.exchange(first, firstEnd)
+            scene.exchange(second, secondEnd)
+            val ahead = ArrayList<String?>()
+            scene.acquire(exclusive = true, limit = 2) {
+                scene.pool.acquire(scene.server, 2, earlyExpiry = true, exclusive = true) { _, failure ->
+                    ahead +=
+                        failure
+                }
+            }
+            loop.submit {}.get()
+            expectThat(ahead.toList()).isEqualTo(listOf(null))
+        }
+    }
+
+    @Test
+    fun `an exclusive request that is refused a new connection closes no idle one`() {
+        Scene().use { scene ->
+            val (connection, _) = scene.idleConnection()
+            loop.submit {
+                listOf("a", "b").forEach { scene.reach.recordRefused(BackendServerId(it)) }
+                scene.reach.tick(System.nanoTime() / 1_000_000, othersReach = true)
+            }.get()
+            val failures = ArrayList<String?>()
+            loop.submit {
+                scene.pool.acquire(scene.server, 1, earlyExpiry = true, exclusive = true) { _, failure ->
+                    failures +=
+                        failure
+                }
+            }.get()
+            expectThat(failures.toList()).isEqualTo(listOf(ServerConnectionPool.NEW_CONNECTIONS_REFUSED))
+            expectThat(connection.open).describedAs("idle connection open").isEqualTo(true)
+        }
+    }
+
     @Test
     fun `other requests share a connection`() {
         Scene().use { scene ->
