Refuse a request whose head is joined to a part of another

A caller's request that broke off in the value of a header, followed by a whole one on the same connection, was executed with the path of the first and the id and the body of the second: a request that nobody sent. The first line of the second stands at the end of that value; such a request is refused with 400 now, which ends its connection. Elsewhere in the head the version, the name that is no token or the second Host was refused before.

A method that is cut off is not covered.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerConnection.kt
@@ -148,13 +148,16 @@
         state = State.READING
         head = request
         val status = refusalStatus(request)
-        if (status != null) return refuse(status, request.decoderResult().cause()?.message ?: "not accepted")
+        if (status != null) return refuse(status, refusalReason(request))
         val length = HttpUtil.getContentLength(request, 0L)
         if (length > context.limits().maxBodyBytes) return refuseTooLarge()
         if (!context.hasCapacity(length)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_MEMORY)
         if (HttpUtil.is100ContinueExpected(request)) channel.writeAndFlush(CONTINUE.retainedDuplicate())
     }
 
+    private fun refusalReason(request: HttpRequest): String =
+        request.decoderResult().cause()?.message ?: RequestHead.fault(request) ?: "not accepted"
+
     private fun refusalStatus(request: HttpRequest): HttpResponseStatus? {
         val cause = request.decoderResult().cause()
         val encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
@@ -163,6 +166,7 @@
             cause is TooLongHttpLineException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             cause != null -> HttpResponseStatus.BAD_REQUEST
             isAmbiguous(request, encodings) -> HttpResponseStatus.BAD_REQUEST
+            RequestHead.fault(request) != null -> HttpResponseStatus.BAD_REQUEST
             else -> null
         }
     }
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/caller/BadRequestsTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/caller/BadRequestsTest.kt
@@ -105,6 +105,8 @@
             "400",
         ),
         Case("not HTTP", "hello\r\n\r\n", "400"),
+        Case("a request line in a header", "GET /a HTTP/1.1\r\nHost: h\r\nX: aGET /b HTTP/1.1\r\n\r\n", "400"),
+        Case("a protocol in a header", "GET /a HTTP/1.1\r\nHost: h\r\nVia: HTTP/1.1 p\r\n\r\n", "200", listOf("/a 0")),
     )
 
     @TestFactory
