End a response of unknown length to an HTTP/1.0 caller with the connection

Streams and long responses went to callers of HTTP/1.0 in chunks, which they take for a part of the body; and a response that broke off ended like a whole one, with the end of the connection. They now get the body as it is. Until its last byte was sent, a close resets the connection, whoever closes it. The end of the whole process is not covered.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerConnection.kt
@@ -199,6 +199,7 @@
             keepAlive = { keepAlive && !context.closing && !(context.draining && pending.isEmpty) },
             onEnd = ::onResponseEnd,
             belongs = { headers -> context.requestId(headers).let { it == null || it == id } },
+            chunked = request.protocolVersion() >= HttpVersion.HTTP_1_1,
         )
         response = newResponse
         encoder.respondsToHead = request.method() == HttpMethod.HEAD
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerResponse.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerResponse.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -17,14 +18,21 @@
 import io.netty.handler.codec.http.LastHttpContent
 import org.tinylog.kotlin.Logger
 
-/** The response to one request of a caller. It ends with exactly one call of [sendFull], [finish] or [abort]. */
+/**
+ * The response to one request of a caller. It ends with exactly one call of [sendFull], [finish] or [abort].
+ *
+ * @param chunked whether the caller understands chunks. For one that does not, the connection ends a response of unknown
+ * length; until that was sent, a close resets the connection, so that what broke off does not look whole.
+ */
 public class CallerResponse internal constructor(
     private val channel: Channel,
     private val keepAlive: () -> Boolean,
     private val onEnd: (sent: ChannelFuture, closes: Boolean) -> Unit,
     private val belongs: (HttpHeaders) -> Boolean = { true },
+    private val chunked: Boolean = true,
 ) {
     private var closeAfterEnd = false
+    private var endsWithConnection = false
 
     /** Whether the status and headers were sent. */
     public var started: Boolean = false
@@ -61,13 +69,19 @@
         end(response)
     }
 
-    /** Writes the status and headers of a response of unknown length, which is sent in chunks. */
+    /** Writes the status and headers of a response of unknown length. */
     public fun sendHead(status: HttpResponseStatus, headers: HttpHeaders) {
         if (ended) return
         if (isForeign(headers)) return abort()
         started = true
         statusCode = status.code()
-        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (chunked) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        } else {
+            headers.remove(HttpHeaderNames.TRANSFER_ENCODING)
+            channel.config().setOption(ChannelOption.SO_LINGER, RESET)
+            endsWithConnection = true
+        }
         announceClose(headers)
         channel.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers))
     }
@@ -107,16 +121,24 @@
     }
 
     private fun announceClose(headers: HttpHeaders) {
-        closeAfterEnd = !keepAlive()
+        closeAfterEnd = endsWithConnection || !keepAlive()
         if (closeAfterEnd) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
     private fun end(message: Any) {
         ended = true
-        onEnd(channel.writeAndFlush(message), closeAfterEnd)
+        val sent = channel.writeAndFlush(message)
+        if (endsWithConnection) {
+            sent.addListener { if (it.isSuccess) channel.config().setOption(ChannelOption.SO_LINGER, NO_RESET) }
+        }
+        onEnd(sent, closeAfterEnd)
     }
 
     internal companion object {
+        /** Times for which a close waits for what was not sent, in seconds. */
+        private const val RESET = 0
+        private const val NO_RESET = -1
+
         fun newHeaders(): HttpHeaders = DefaultHttpHeaders()
 
         fun emptyBody(): ByteBuf = Unpooled.EMPTY_BUFFER
