--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerResponse.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/caller/CallerResponse.kt
@@ -21,8 +21,8 @@
 /**
  * The response to one request of a caller. It ends with exactly one call of [sendFull], [finish] or [abort].
  *
- * @param chunked whether the caller understands chunks. For one that does not, the connection ends a response of unknown
- * length; until that was sent, a close resets the connection, so that what broke off does not look whole.
+ * @param chunked whether the caller understands chunks. For one that does not, the connection ends a response of
+ * unknown length; until that was sent, a close resets the connection, so that what broke off does not look whole.
  */
 public class CallerResponse internal constructor(
     private val channel: Channel,
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -15,7 +15,6 @@
 import io.apricotslip.serving.state.Route
 import io.apricotslip.serving.state.RouteKind
 import io.apricotslip.serving.state.ServiceSpec
-import io.netty.handler.codec.http.HttpMethod
 import java.util.concurrent.TimeUnit
 import kotlin.math.min
 
@@ -60,9 +59,6 @@
         context.loop.schedule(::endUnfinished, deadlineAt - context.now(), TimeUnit.MILLISECONDS)
     val runsOnce = route.kind == RouteKind.AT_MOST_ONCE
     val isStream = route.kind == RouteKind.STREAM
-
-    /** Whether the response could not be told from a late one to another request on the same connection. */
-    private val exclusive = metadata.id == null || request.method == HttpMethod.HEAD
     val timings = AnswerTimings(context, route, request.arrivedAt)
     private val progress get() = counts.progress(forwarder.started)
 
@@ -158,6 +154,7 @@
         if (counts.dispatches > 0 && !budget.tryAcquire(context.now(), context.nodeCount())) return endWithoutRetry()
         val reserved = reservation
         val limit = placement.maxConnections()
+        val exclusive = metadata.needsOwnConnection(request.method)
         val used = triedServers.usedConnections
         context.servers.pool.acquire(server, limit, runsOnce, used, exclusive) { acquired, failure ->
             when {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/RequestMetadata.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/RequestMetadata.kt
@@ -2,6 +2,7 @@
 
 import io.apricotslip.api.id.PromptPartId
 import io.apricotslip.serving.fleet.ServedAdapter
+import io.netty.handler.codec.http.HttpMethod
 
 /**
  * Metadata from the headers of a caller's request.
@@ -27,4 +28,7 @@
     public val sharedParts: List<PromptPartId> = emptyList(),
     public val resumedRequest: String? = null,
     public val continuesStream: Boolean = lastEventId != null || resumedRequest != null,
-)
+) {
+    /** Whether the response could not be told from a late one to another request on the same connection. */
+    internal fun needsOwnConnection(method: HttpMethod): Boolean = id == null || method == HttpMethod.HEAD
+}
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -250,8 +250,8 @@
     }
 
     /**
-     * Skips a part of the body of a response to another request. If that broke off, it takes the response to this request
-     * for the rest of its body or for its trailers, and what follows would be read from the middle.
+     * Skips a part of the body of a response to another request. If that broke off, it takes the response to this
+     * request for the rest of its body or for its trailers, and what follows would be read from the middle.
      */
     private fun skip(bytes: ByteBuf, trailers: HttpHeaders, last: Boolean) {
         if (skipped.isFoundIn(bytes) || !trailers.isEmpty) return failUnreadable("a response inside another one")
