Close the links of a gateway that a test is done with

Traced: LocalGateway.close ended the event loop and left the network between nodes open; each holds a thread of Dispatchers.IO, of which there are 64, and 324 gateways were left behind.

BrokenSecondAnswerTest (486) and then StutteringHelperTest (40) in one process: pass.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/Gateway.kt
@@ -150,6 +150,9 @@
         callers.start(options.callerHost, options.callerPort)
     }
 
+    /** Closes the links to other nodes at once; [stop] does so once the requests in progress have ended. */
+    public fun closeLinks(): Unit = peerLinks.close()
+
     /**
      * Shuts down gracefully: reports that it is not ready, completes the requests in progress and those that still
      * arrive on open connections, then closes. The future completes when none is left or the grace period has ended.
