--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/TextCall.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/TextCall.kt
@@ -13,6 +13,8 @@
 /**
  * An HTTP call whose response has a short text body.
  *
+ * @param maxPauseMillis longest pause between two parts of the answer: once it has begun, it may take longer than the
+ * time for it as long as its parts keep coming. Null if all of it must arrive in that time.
  * @param isAnswer whether a response with the given headers belongs to the call: a server may send a late second copy
  * of an earlier response on the connection.
  */
@@ -22,6 +24,7 @@
     private val headers: HttpHeaders,
     private val body: ByteArray = ByteArray(0),
     private val maxResponseBytes: Int = DEFAULT_MAX_RESPONSE_BYTES,
+    private val maxPauseMillis: Long? = null,
     private val isAnswer: (HttpHeaders) -> Boolean = { true },
 ) {
     /** Outcome of a call. */
@@ -41,24 +44,47 @@
         public class NoResponse(public val reason: String, public val timedOut: Boolean = false) : Outcome()
     }
 
-    /** Sends the call on [connection]; [done] gets the outcome, at the latest after [timeoutMillis]. */
+    /** Sends the call on [connection]; [done] gets the outcome. An answer must begin within [timeoutMillis]. */
     public fun send(connection: HttpConnection, loop: EventLoop, timeoutMillis: Long, done: (Outcome) -> Unit) {
-        var timedOut = false
-        val onTimeout = {
-            timedOut = true
-            connection.fail("no answer in $timeoutMillis ms")
-        }
-        val timer = loop.schedule(onTimeout, timeoutMillis, TimeUnit.MILLISECONDS)
-        val listener = Listener(connection, { timedOut }) {
-            timer.cancel(false)
+        val timeout = Timeout(connection, loop, timeoutMillis)
+        val listener = Listener(connection, timeout) {
+            timeout.cancel()
             done(it)
         }
         connection.send(method, uri, headers, Unpooled.wrappedBuffer(body), listener)
     }
 
+    /** Fails the call when its time is over. */
+    private inner class Timeout(private val connection: HttpConnection, private val loop: EventLoop, millis: Long) {
+        private var timer = schedule(millis)
+        private var extensions = 0
+
+        var isOver = false
+            private set
+
+        /** Restarts the time when a part of the answer has arrived. */
+        fun onPart() {
+            val pauseMillis = maxPauseMillis ?: return
+            if (isOver || ++extensions > MAX_EXTENSIONS) return
+            timer.cancel(false)
+            timer = schedule(pauseMillis)
+        }
+
+        fun cancel() {
+            timer.cancel(false)
+        }
+
+        private fun schedule(millis: Long) = loop.schedule({ expire(millis) }, millis, TimeUnit.MILLISECONDS)
+
+        private fun expire(millis: Long) {
+            isOver = true
+            connection.fail("no answer in $millis ms")
+        }
+    }
+
     private inner class Listener(
         private val connection: HttpConnection,
-        private val timedOut: () -> Boolean,
+        private val timeout: Timeout,
         private val done: (Outcome) -> Unit,
     ) : ResponseListener {
         private var status = 0
@@ -76,15 +102,19 @@
                 return connection.fail("answer longer than $maxResponseBytes bytes")
             }
             bytes.readBytes(text, bytes.readableBytes())
+            timeout.onPart()
         }
 
         override fun onComplete() = done(Outcome.Response(status, text.toString(Charsets.UTF_8), responseHeaders))
 
-        override fun onFailure(reason: String) = done(Outcome.NoResponse(reason, timedOut()))
+        override fun onFailure(reason: String) = done(Outcome.NoResponse(reason, timeout.isOver))
     }
 
     public companion object {
         /** Many times a report of an engine with all adapter slots in use. */
         public const val DEFAULT_MAX_RESPONSE_BYTES: Int = 262_144
+
+        /** Several times the reads of the longest answer: single bytes must not extend the time forever. */
+        private const val MAX_EXTENSIONS = 1_000
     }
 }
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/TextCallTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/TextCallTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import java.util.concurrent.TimeUnit
 
 /**
  * Guards against an order that counts as carried out because a late copy of another answer arrived on its connection,
@@ -47,4 +48,37 @@
             channel.finishAndReleaseAll()
         }
     }
+
+    /** An answer of which a part arrives after each of [pauses], in milliseconds. */
+    private class Slow(val name: String, val maxPauseMillis: Long?, val pauses: List<Long>, val expected: String)
+
+    private val slowAnswers = listOf(
+        Slow("all in time", null, listOf(100, 100, 100), "200 abc"),
+        Slow("longer than the time in all", null, listOf(400, 400, 400), "none"),
+        Slow("longer than the time in all, with short pauses", 600, listOf(400, 400, 400), "200 abc"),
+        Slow("begun late", 600, listOf(1_100, 10, 10), "none"),
+        Slow("silent once it has begun", 600, listOf(100, 700, 10), "none"),
+    )
+
+    @TestFactory
+    fun `a long answer is awaited while its parts keep coming, and a silent one is given up`() =
+        slowAnswers.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val connection = HttpConnection({ 0L })
+                val channel = EmbeddedChannel(connection)
+                var outcome = ""
+                val call = TextCall(HttpMethod.GET, "/", DefaultHttpHeaders(), maxPauseMillis = case.maxPauseMillis)
+                call.send(connection, channel.eventLoop(), timeoutMillis = 1_000) {
+                    outcome = if (it is TextCall.Outcome.Response) "${it.status} ${it.text}" else "none"
+                }
+                val parts = listOf("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\na", "b", "c")
+                parts.zip(case.pauses).forEach { (part, pauseMillis) ->
+                    channel.advanceTimeBy(pauseMillis, TimeUnit.MILLISECONDS)
+                    channel.runScheduledPendingTasks()
+                    if (channel.isOpen) channel.writeInbound(Unpooled.copiedBuffer(part, Charsets.UTF_8))
+                }
+                expectThat(outcome).isEqualTo(case.expected)
+                channel.finishAndReleaseAll()
+            }
+        }
 }
