Keep the claims of a holder that other nodes hear

Cause: a node took a holder that it did not hear for dead when the claim lapsed after 3.5 s, though others heard it and said so twice a second; and as the two suspect each other, they don't report to each other for 4 s more, however soon the link is replaced. A claim now does not lapse while others hear its holder and the node itself does not, for 9 s at most. No message changes: what hubs tell each other about hubs says who was heard.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderCoordinator.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/order/OrderCoordinator.kt
@@ -43,7 +43,9 @@
         if (!exchange.hub) releaseAll()
         val engines = fleet.all.filter { engineSpec(it) != null && it.leavingSince == null }.map { it.id }
         if (exchange.mayClaim(now)) {
-            claims.claim(engines, exchange.orderingHubs(now), exchange.allFreshlyStarted(now), wallSeconds, now)
+            claims.claim(engines, exchange.orderingHubs(now), exchange.allFreshlyStarted(now), wallSeconds, now) {
+                exchange.isHeardByOthersOnly(it, now)
+            }
         }
         engines.filter { it !in heldServers }.forEach(::startOrders)
         heldServers.values.toList().forEach {
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchange.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchange.kt
@@ -68,7 +68,13 @@
      * Whether this node may claim servers at [now]: it is an established hub that is not the one cut off from the
      * others.
      */
-    public fun mayClaim(now: Long): Boolean {
+    public fun mayClaim(now: Long): Boolean = hearsMostHubs(now)
+
+    /** Whether this node does not hear [vm] at [now] but others do: only the link between the two is broken. */
+    public fun isHeardByOthersOnly(vm: VmId, now: Long): Boolean = vm !in liveHubs(now) && directory.isHeardOf(vm, now)
+
+    /** Whether this node is an established hub that hears at least half of the hubs. */
+    private fun hearsMostHubs(now: Long): Boolean {
         val since = directory.hubSince() ?: return false
         if (!isHub || now - since < SETTLE_MILLIS) return false
         if (!heardAnyone && seeds.isNotEmpty()) return now > ALONE_CLAIM_MILLIS
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/HubDirectory.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/HubDirectory.kt
@@ -49,6 +49,10 @@
         }
     }
 
+    /** Whether any node, this one or one that told it so, heard [vm] at [now] or shortly before. */
+    public fun isHeardOf(vm: VmId, now: Long): Boolean =
+        candidates[vm]?.let { now - it.lastHeardAt < CANDIDATE_TTL_MILLIS } ?: false
+
     /** Records that [vm] does not answer this node; it is not used as a hub for a while, unless it is heard. */
     public fun suspect(vm: VmId, now: Long) {
         candidates[vm]?.suspectedUntil = now + SUSPICION_MILLIS
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/OrderClaims.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/order/OrderClaims.kt
@@ -9,9 +9,9 @@
  * Decides which node gives orders to which backend server.
  *
  * A node claims a server only when it has received no claim for it during [leaseMillis] plus a margin, and only when it
- * ranks first among the live nodes. Of two concurrent claims the one with the lower fencing token yields at once.
- * Orders are safe even when nodes disagree: servers refuse a token lower than one that they have seen, and no two nodes
- * generate the same token.
+ * ranks first among the live nodes. It waits longer while others hear the holder. Of two concurrent claims the one with
+ * the lower fencing token yields at once. Orders are safe even when nodes disagree: servers refuse a token lower than
+ * one that they have seen, and no two nodes generate the same token.
  *
  * @param nodeNumber number of this node, below 2^24 and unique among the nodes.
  */
@@ -87,6 +87,7 @@
      *
      * @param allFreshlyStarted whether all nodes started recently, so that no running node has given an order before.
      * @param wallSeconds Unix time.
+     * @param isHeardByOthersOnly whether a node is heard by others while this one has lost its link to it.
      */
     public fun claim(
         servers: Collection<BackendServerId>,
@@ -94,6 +95,7 @@
         allFreshlyStarted: Boolean,
         wallSeconds: Long,
         now: Long,
+        isHeardByOthersOnly: (VmId) -> Boolean = { false },
     ) {
         claims.values.removeIf { it.holder != self && now - it.lastHeardAt > FORGET_AFTER_MILLIS }
         val earliest = if (allFreshlyStarted) {
@@ -102,7 +104,8 @@
             startedAt + leaseMillis + LEASE_MARGIN_MILLIS
         }
         if (now < earliest) return
-        servers.filter { claimable(it, now) && ranksFirst(it, live) }.forEach { acquire(it, wallSeconds, now) }
+        servers.filter { claimable(it, now, isHeardByOthersOnly) && ranksFirst(it, live) }
+            .forEach { acquire(it, wallSeconds, now) }
     }
 
     private fun acquire(server: BackendServerId, wallSeconds: Long, now: Long) {
@@ -112,11 +115,10 @@
         claims[server] = Claim(self, fence, self, now)
     }
 
-    private fun claimable(server: BackendServerId, now: Long): Boolean {
-        val claim = claims[server]
-        if (claim?.holder == self) return false
-        if (claim != null) return expired(claim, now)
-        return now >= (backoffUntil[server] ?: 0)
+    private fun claimable(server: BackendServerId, now: Long, isHeardByOthersOnly: (VmId) -> Boolean): Boolean {
+        val claim = claims[server] ?: return now >= (backoffUntil[server] ?: 0)
+        if (!expired(claim, now)) return false
+        return now - claim.lastHeardAt > MAX_RELINK_MILLIS || !isHeardByOthersOnly(claim.holder)
     }
 
     private fun expired(claim: Claim, now: Long) =
@@ -137,6 +139,9 @@
         /** Covers the reports of a holder that were in transit, and the drift between two monotonic clocks. */
         const val LEASE_MARGIN_MILLIS = 500L
 
+        /** Covers a link that goes silent, the suspicion of the node behind it, and the link that replaces it. */
+        const val MAX_RELINK_MILLIS = 9_000L
+
         /** Several report intervals of peers: valid claims have been received by then. */
         const val FRESH_START_WAIT_MILLIS = 1_000L
 
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
@@ -13,6 +13,8 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
+import kotlin.random.Random
+import kotlin.random.nextLong
 
 /**
  * Guards against nodes that do not find each other, that keep a wrong view of the fleet after a fault, and against
@@ -148,6 +150,52 @@
         expectThat(fleet.nodes.count { it.claims.heldServers().isNotEmpty() }).isEqualTo(6)
     }
 
+    /**
+     * Links that go silent for good.
+     *
+     * @param replacedAfter time after which each of them is replaced, in milliseconds.
+     * @param isSilent whether the link between two hubs goes silent; they are numbered.
+     */
+    private class Silence(
+        val name: String,
+        val replacedAfter: LongRange = 3_000L..4_500L,
+        val isSilent: (Int, Int) -> Boolean,
+    )
+
+    private val silences = listOf(
+        Silence("the link between two hubs") { a, b -> a + b == 1 },
+    )
+
+    @TestFactory
+    fun `a server keeps its holder while silent links are replaced`() = silences.flatMap { silence ->
+        listOf(Size(3, 3), Size(30, 3)).map { silence to it }
+    }.flatMap { (silence, size) ->
+        (1..5).map { seed ->
+            DynamicTest.dynamicTest("${silence.name}, ${size.nodes} nodes, seed $seed") {
+                val fleet = converged(size, seed)
+                expectThat(fleet.timeUntil(4_000) { fleet.heldOnce() == 40 }).isNotNull()
+                fleet.runUntil(fleet.now + 8_000)
+                val holders = fleet.holders()
+                fleet.silence(silence, Random(seed))
+                repeat(800) {
+                    fleet.runUntil(fleet.now + 10)
+                    expectThat(fleet.holders()).isEqualTo(holders)
+                }
+            }
+        }
+    }
+
+    private fun SimulatedFleet.silence(silence: Silence, random: Random) {
+        val hubs = nodes.filter { it.exchange.hub }
+        val silentAt = now
+        val replacedAt = HashMap<Set<Int>, Long>()
+        cut = { a, b ->
+            val (i, j) = hubs.indexOf(a) to hubs.indexOf(b)
+            val isSilent = i >= 0 && j >= 0 && silence.isSilent(i, j)
+            isSilent && now < replacedAt.getOrPut(setOf(i, j)) { silentAt + random.nextLong(silence.replacedAfter) }
+        }
+    }
+
     @Test
     fun `servers of a killed holder are held again after the lease and not before`() {
         val fleet = converged(Size(30, 3), seed = 2)
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/SimulatedFleet.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/SimulatedFleet.kt
@@ -121,6 +121,11 @@
         return "live=${live.size} hubs=$hubs wrong_size=$wrongSize wrong_work=$wrongWork"
     }
 
+    /** The running nodes that hold each server. */
+    fun holders(): Map<BackendServerId, List<VmId>> = servers.associateWith { server ->
+        liveNodes().filter { it.claims.ownFence(server) != null }.map { it.id }
+    }
+
     /** Servers that are held by exactly one running node. */
     fun heldOnce(): Int = servers.count { server -> liveNodes().count { it.claims.ownFence(server) != null } == 1 }
 
@@ -256,7 +261,9 @@
         send(streams.tick(now))
         if (!exchange.hub || cutOff) claims.releaseAll()
         if (!cutOff && exchange.mayClaim(now)) {
-            claims.claim(servers, exchange.orderingHubs(now), exchange.allFreshlyStarted(now), fleet.now / 1_000, now)
+            claims.claim(servers, exchange.orderingHubs(now), exchange.allFreshlyStarted(now), fleet.now / 1_000, now) {
+                exchange.isHeardByOthersOnly(it, now)
+            }
         }
         val links = exchange.links(now)
         (links.hubs + links.single).forEach { fleet.link(this, it) }
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/order/OrderClaimsTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/order/OrderClaimsTest.kt
@@ -61,6 +61,22 @@
         expectThat(claims.heldServers()).hasSize(1)
     }
 
+    @Test
+    fun `the claim of a holder that others hear is valid while its link is replaced, and not forever`() {
+        val claims = node(0)
+        val claimAt = { now: Long, isHeardByOthersOnly: Boolean ->
+            claims.claim(oneServer, listOf(vms[0]), false, wallSeconds = 100, now) { isHeardByOthersOnly }
+        }
+        claims.onClaimReceived(oneServer[0], vms[1], FenceNumber(5), now = 4_000)
+        claimAt(13_000, true)
+        expectThat(claims.heldServers()).isEmpty()
+        claims.onClaimReceived(oneServer[0], vms[1], FenceNumber(5), now = 13_000)
+        claimAt(22_000, true)
+        expectThat(claims.heldServers()).isEmpty()
+        claimAt(22_001, true)
+        expectThat(claims.heldServers()).hasSize(1)
+    }
+
     @Test
     fun `of two claims the one with the lower fence yields`() {
         val claims = node(0)
