Claim servers only once most hubs have been heard for a while

When all links between hubs go silent, they are replaced one after the other. A hub that had lost the majority now claims only 2 s after it has it again, so that the other links are replaced too.

FleetExchangeTest, all links and some links of 3 hubs: 10 of 20 cases fail without this (those with 3 nodes), pass.

--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchange.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchange.kt
@@ -44,6 +44,7 @@
     private var ticks = 0
     private var heardAnyone = false
     private var lastAddressedAt = NEVER
+    private val majority = MajorityTracker()
 
     /** Whether this node is a hub, and so one of those that may hold claims. */
     public val hub: Boolean
@@ -66,9 +67,9 @@
 
     /**
      * Whether this node may claim servers at [now]: it is an established hub that is not the one cut off from the
-     * others.
+     * others, nor was it until a moment ago.
      */
-    public fun mayClaim(now: Long): Boolean = hearsMostHubs(now)
+    public fun mayClaim(now: Long): Boolean = hearsMostHubs(now) && majority.isStable(now)
 
     /** Whether this node does not hear [vm] at [now] but others do: only the link between the two is broken. */
     public fun isHeardByOthersOnly(vm: VmId, now: Long): Boolean = vm !in liveHubs(now) && directory.isHeardOf(vm, now)
@@ -119,6 +120,7 @@
 
     /** Sends what is due at [now]; must be called every [INTERVAL_MILLIS]. */
     public fun tick(now: Long): List<Outgoing> {
+        majority.record(hearsMostHubs(now), now)
         removeSilentPeers(now)
         val wasHub = isHub
         isHub = directory.updateRole(now) || now - lastAddressedAt < ADDRESSED_MILLIS
--- /dev/null
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/MajorityTracker.kt
@@ -0,0 +1,29 @@
+package io.apricotslip.serving.member
+
+/**
+ * Tells how long a hub has heard most of the hubs.
+ *
+ * Links that went silent together are replaced one after the other. A hub that hears a majority again first does not
+ * hear all holders of claims yet, so it has to wait for the other links.
+ */
+internal class MajorityTracker {
+    private var hasHeardMost = false
+    private var outvotedAt = Long.MIN_VALUE / 2
+
+    /** Records whether the hub hears most of the hubs at [now]. */
+    fun record(hearsMost: Boolean, now: Long) {
+        if (hearsMost) {
+            hasHeardMost = true
+        } else if (hasHeardMost) {
+            outvotedAt = now
+        }
+    }
+
+    /** Whether the hub, which hears most of the hubs at [now], has not lost them lately. */
+    fun isStable(now: Long): Boolean = now - outvotedAt >= RELINK_MILLIS
+
+    private companion object {
+        /** Links that went silent together are replaced within this time of each other. */
+        const val RELINK_MILLIS = 2_000L
+    }
+}
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
@@ -164,6 +164,8 @@
 
     private val silences = listOf(
         Silence("the link between two hubs") { a, b -> a + b == 1 },
+        Silence("all links between hubs") { _, _ -> true },
+        Silence("the links between some hubs") { a, b -> a * b % 2 == 0 },
     )
 
     @TestFactory
