Replace a silent link between nodes before claims lapse

The limit is 2 s now, and a link is closed when it is reached, not at the heartbeat after it; pings are sent every 0.65 s on links that carry nothing else.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/peer/PeerLinks.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/peer/PeerLinks.kt
@@ -97,10 +97,13 @@
         /** More nodes than report to one hub in the largest deployment that is planned. */
         private const val MAX_UNLISTED_LINKS = 1_024
 
-        /** Reports flow more often than heartbeats, which only keep the links that carry none. */
+        /**
+         * Reports flow more often than heartbeats, which only keep the links that carry none. A link that has gone
+         * silent is replaced before the claims that it carries lapse.
+         */
         val LINK_OPTIONS = LinkOptions(
-            heartbeatMillis = 1_000,
-            silentMillis = 3_000,
+            heartbeatMillis = 650,
+            silentMillis = 2_000,
             maxUnlistedLinks = MAX_UNLISTED_LINKS,
         )
 
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/peer/PeerLinksTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/peer/PeerLinksTest.kt
@@ -4,6 +4,7 @@
 import io.apricotslip.api.fleet.VmList
 import io.apricotslip.api.id.VmId
 import io.apricotslip.api.id.ZoneId
+import io.apricotslip.serving.member.FleetExchange
 import io.apricotslip.serving.member.FleetExchange.Links
 import io.apricotslip.wire.Message
 import io.apricotslip.wire.PeerEvent
@@ -12,12 +13,18 @@
 import io.netty.channel.DefaultEventLoop
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import reactor.core.publisher.Flux
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 
-/** Guards against two nodes of which one closes the link that the other one needs, and reopens, again and again. */
+/**
+ * Guards against two nodes of which one closes the link that the other one needs, and reopens, again and again, and
+ * against a silent link over which claims lapse (ONE).
+ */
 class PeerLinksTest {
     private val other = VmId("10.0.0.2")
     private val none = Links(emptySet(), emptySet())
@@ -88,8 +95,21 @@
         }
     }
 
+    @Test
+    fun `a silent link is replaced, and a report sent over the new one, before claims lapse`() {
+        val options = PeerLinks.LINK_OPTIONS
+        val reopened = options.silentMillis + (options.reconnectMillis * (1 + options.reconnectJitter)).toLong()
+        expectThat(reopened + 2 * FleetExchange.INTERVAL_MILLIS).isLessThan(LEASE_MILLIS)
+        expectThat(options.silentMillis).isGreaterThan(3 * options.heartbeatMillis)
+    }
+
     @AfterEach
     fun stop() {
         loop.shutdownGracefully()
     }
+
+    private companion object {
+        /** `leaseMs` of the deployments. */
+        const val LEASE_MILLIS = 3_000L
+    }
 }
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
@@ -164,6 +164,7 @@
 
     private val silences = listOf(
         Silence("the link between two hubs") { a, b -> a + b == 1 },
+        Silence("all links of one hub", replacedAfter = 2_000L..2_900L) { a, b -> a * b == 0 },
         Silence("all links between hubs") { _, _ -> true },
         Silence("the links between some hubs") { a, b -> a * b % 2 == 0 },
     )
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Link.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/Link.kt
@@ -105,15 +105,25 @@
         }
     }
 
-    /** Sends pings; closes the link when nothing was read from the peer within the limit. */
+    /** Sends pings until nothing was read from the peer within the limit, and then closes the link. */
     private suspend fun runHeartbeat() {
         while (!readIdleTimer.isExpired()) {
             outboundQueue.offer(pingContent)
-            delay(options.heartbeatMillis)
+            awaitSilence(options.heartbeatMillis)
         }
         close("silent for ${options.silentMillis} ms")
     }
 
+    /** Waits for [millis], or until the peer has been silent for too long. */
+    private suspend fun awaitSilence(millis: Long) {
+        var left = millis
+        while (left > 0 && !readIdleTimer.isExpired()) {
+            val step = minOf(left, readIdleTimer.remainingMillis())
+            delay(step)
+            left -= step
+        }
+    }
+
     private companion object {
         val pingContent = FrameCodec.encode(Frame.Ping)
     }
--- a/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/ReadIdleTimer.kt
+++ b/apricotslip-wire/src/main/kotlin/io/apricotslip/wire/link/ReadIdleTimer.kt
@@ -2,6 +2,7 @@
 
 import io.apricotslip.api.time.Ticker
 import java.util.concurrent.TimeUnit
+import kotlin.math.ceil
 
 /**
  * Detects that nothing was read from a peer for longer than [limitMillis]. Time in which this node itself does not read
@@ -33,5 +34,15 @@
     }
 
     /** Whether nothing arrived within the limit; never true while paused. */
-    fun isExpired(): Boolean = !paused && ticker.nanos() - lastReadAtNanos > limitNanos
+    fun isExpired(): Boolean = remainingMillis() <= 0
+
+    /** Time until the limit is reached if nothing arrives; the whole limit while paused. */
+    fun remainingMillis(): Long {
+        val idleNanos = if (paused) 0 else ticker.nanos() - lastReadAtNanos
+        return ceil((limitNanos - idleNanos).toDouble() / NANOS_PER_MILLI).toLong()
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000
+    }
 }
