--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchange.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/FleetExchange.kt
@@ -71,8 +71,8 @@
      */
     public fun mayClaim(now: Long): Boolean = hearsMostHubs(now) && majority.isStable(now)
 
-    /** Whether this node does not hear [vm] at [now] but others do: only the link between the two is broken. */
-    public fun isHeardByOthersOnly(vm: VmId, now: Long): Boolean = vm !in liveHubs(now) && directory.isHeardOf(vm, now)
+    /** Whether this node does not hear the hub [vm] at [now] but others do: only the link between the two is broken. */
+    public fun isHeardByOthersOnly(vm: VmId, now: Long): Boolean = vm !in liveHubs(now) && directory.isLiveHub(vm, now)
 
     /** Whether this node is an established hub that hears at least half of the hubs. */
     private fun hearsMostHubs(now: Long): Boolean {
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/HubDirectory.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/HubDirectory.kt
@@ -49,9 +49,12 @@
         }
     }
 
-    /** Whether any node, this one or one that told it so, heard [vm] at [now] or shortly before. */
-    public fun isHeardOf(vm: VmId, now: Long): Boolean =
-        candidates[vm]?.let { now - it.lastHeardAt < CANDIDATE_TTL_MILLIS } ?: false
+    /**
+     * Whether any node, this one or one that told it so, heard [vm] at [now] or shortly before, and [vm] has been a hub
+     * for a while: a node that has restarted, or is no hub any more, holds no claims.
+     */
+    public fun isLiveHub(vm: VmId, now: Long): Boolean =
+        candidates[vm]?.let { it.established && now - it.lastHeardAt < CANDIDATE_TTL_MILLIS } ?: false
 
     /** Records that [vm] does not answer this node; it is not used as a hub for a while, unless it is heard. */
     public fun suspect(vm: VmId, now: Long) {
--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
@@ -166,7 +166,7 @@
         Silence("the link between two hubs") { a, b -> a + b == 1 },
         Silence("all links of one hub", replacedAfter = 2_000L..2_900L) { a, b -> a * b == 0 },
         Silence("all links between hubs") { _, _ -> true },
-        Silence("the links between some hubs") { a, b -> a * b % 2 == 0 },
+        Silence("all links but those between hubs of odd numbers") { a, b -> a * b % 2 == 0 },
     )
 
     @TestFactory
@@ -191,14 +191,32 @@
     private fun SimulatedFleet.silence(silence: Silence, random: Random) {
         val hubs = nodes.filter { it.exchange.hub }
         val silentAt = now
-        val replacedAt = HashMap<Set<Int>, Long>()
+        val replacedAt = HashMap<Set<SimulatedNode>, Long>()
         cut = { a, b ->
             val (i, j) = hubs.indexOf(a) to hubs.indexOf(b)
             val isSilent = i >= 0 && j >= 0 && silence.isSilent(i, j)
-            isSilent && now < replacedAt.getOrPut(setOf(i, j)) { silentAt + random.nextLong(silence.replacedAfter) }
+            isSilent && now < replacedAt.getOrPut(setOf(a, b)) { silentAt + random.nextLong(silence.replacedAfter) }
         }
     }
 
+    @TestFactory
+    fun `servers of a holder that restarts as a plain node are held again after the lease`() =
+        listOf(Size(12, 3), Size(30, 3)).flatMap { size -> listOf(1_500L, 2_500L).map { size to it } }
+            .flatMap { (size, downMillis) ->
+                (1..4).map { seed ->
+                    DynamicTest.dynamicTest("${size.nodes} nodes, back after $downMillis ms, seed $seed") {
+                        val fleet = converged(size, seed)
+                        expectThat(fleet.timeUntil(4_000) { fleet.heldOnce() == 40 }).isNotNull()
+                        fleet.runUntil(fleet.now + 8_000)
+                        val holder = fleet.nodes.maxBy { it.claims.heldServers().size }
+                        holder.kill()
+                        fleet.at(fleet.now + downMillis) { fleet.restart(holder) }
+                        fleet.runUntil(fleet.now + 50)
+                        expectThat(fleet.timeUntil(LEASE_MILLIS + 3_000) { fleet.heldOnce() == 40 }).isNotNull()
+                    }
+                }
+            }
+
     @Test
     fun `servers of a killed holder are held again after the lease and not before`() {
         val fleet = converged(Size(30, 3), seed = 2)
@@ -212,4 +230,9 @@
         expectThat(fleet.heldOnce()).isEqualTo(40 - lost)
         expectThat(fleet.timeUntil(4_000) { fleet.heldOnce() == 40 }).isNotNull()
     }
+
+    private companion object {
+        /** `leaseMs` of the deployments. */
+        const val LEASE_MILLIS = 3_000L
+    }
 }
