--- a/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
+++ b/apricotslip-serving/src/test/kotlin/io/apricotslip/serving/member/FleetExchangeTest.kt
@@ -155,10 +155,12 @@
      *
      * @param replacedAfter time after which each of them is replaced, in milliseconds.
      * @param isSilent whether the link between two hubs goes silent; they are numbered.
+     * @param others whether all links of other nodes go silent too.
      */
     private class Silence(
         val name: String,
         val replacedAfter: LongRange = 3_000L..4_500L,
+        val others: Boolean = false,
         val isSilent: (Int, Int) -> Boolean,
     )
 
@@ -167,6 +169,7 @@
         Silence("all links of one hub", replacedAfter = 2_000L..2_900L) { a, b -> a * b == 0 },
         Silence("all links between hubs") { _, _ -> true },
         Silence("all links but those between hubs of odd numbers") { a, b -> a * b % 2 == 0 },
+        Silence("all links between nodes", replacedAfter = 2_000L..3_400L, others = true) { _, _ -> true },
     )
 
     @TestFactory
@@ -194,7 +197,7 @@
         val replacedAt = HashMap<Set<SimulatedNode>, Long>()
         cut = { a, b ->
             val (i, j) = hubs.indexOf(a) to hubs.indexOf(b)
-            val isSilent = i >= 0 && j >= 0 && silence.isSilent(i, j)
+            val isSilent = if (i >= 0 && j >= 0) silence.isSilent(i, j) else silence.others
             isSilent && now < replacedAt.getOrPut(setOf(a, b)) { silentAt + random.nextLong(silence.replacedAfter) }
         }
     }
