--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/TextCall.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/TextCall.kt
@@ -44,7 +44,7 @@
         public class NoResponse(public val reason: String, public val timedOut: Boolean = false) : Outcome()
     }
 
-    /** Sends the call on [connection]; [done] gets the outcome. An answer must begin within [timeoutMillis]. */
+    /** Sends the call on [connection]; [done] gets the outcome. The time for the answer is [timeoutMillis]. */
     public fun send(connection: HttpConnection, loop: EventLoop, timeoutMillis: Long, done: (Outcome) -> Unit) {
         val timeout = Timeout(connection, loop, timeoutMillis)
         val listener = Listener(connection, timeout) {
@@ -54,20 +54,20 @@
         connection.send(method, uri, headers, Unpooled.wrappedBuffer(body), listener)
     }
 
-    /** Fails the call when its time is over. */
+    /** Fails the call when its time is over, which the parts of the answer extend. */
     private inner class Timeout(private val connection: HttpConnection, private val loop: EventLoop, millis: Long) {
         private var timer = schedule(millis)
-        private var extensions = 0
+        private var extendedMillis = 0L
 
         var isOver = false
             private set
 
-        /** Restarts the time when a part of the answer has arrived. */
         fun onPart() {
-            val pauseMillis = maxPauseMillis ?: return
-            if (isOver || ++extensions > MAX_EXTENSIONS) return
+            val missingMillis = (maxPauseMillis ?: return) - timer.getDelay(TimeUnit.MILLISECONDS)
+            if (isOver || missingMillis <= 0 || extendedMillis + missingMillis > MAX_EXTENSION_MILLIS) return
+            extendedMillis += missingMillis
             timer.cancel(false)
-            timer = schedule(pauseMillis)
+            timer = schedule(maxPauseMillis)
         }
 
         fun cancel() {
@@ -114,7 +114,7 @@
         /** Many times a report of an engine with all adapter slots in use. */
         public const val DEFAULT_MAX_RESPONSE_BYTES: Int = 262_144
 
-        /** Several times the reads of the longest answer: single bytes must not extend the time forever. */
-        private const val MAX_EXTENSIONS = 1_000
+        /** The longest answer at ten megabits a second; single bytes must not extend the time forever. */
+        private const val MAX_EXTENSION_MILLIS = 10_000L
     }
 }
