Name what the majority tracker and a test of links say

outvotedAt and hasHeardMost were figurative or vague. The test of the link times is arithmetic on the constants and said that it replaces a link; its checks are as before. Only names change.

--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/peer/PeerLinksTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/peer/PeerLinksTest.kt
@@ -96,7 +96,7 @@
     }
 
     @Test
-    fun `a silent link is replaced, and a report sent over the new one, before claims lapse`() {
+    fun `the times of links leave room to replace a silent one and to report before claims lapse`() {
         val options = PeerLinks.LINK_OPTIONS
         val reopened = options.silentMillis + (options.reconnectMillis * (1 + options.reconnectJitter)).toLong()
         expectThat(reopened + 2 * FleetExchange.INTERVAL_MILLIS).isLessThan(LEASE_MILLIS)
--- a/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/MajorityTracker.kt
+++ b/apricotslip-serving/src/main/kotlin/io/apricotslip/serving/member/MajorityTracker.kt
@@ -8,20 +8,20 @@
  * heard nobody; one that has just started has not missed anything.
  */
 internal class MajorityTracker {
-    private var hasHeardMost = false
-    private var outvotedAt = Long.MIN_VALUE / 2
+    private var hasHeardMajority = false
+    private var lastMinorityAt = Long.MIN_VALUE / 2
 
     /** Records whether this node is a hub that hears most of the hubs at [now], the time since its start. */
-    fun record(hearsMost: Boolean, now: Long) {
-        if (hearsMost) {
-            hasHeardMost = true
-        } else if (hasHeardMost || now > START_MILLIS) {
-            outvotedAt = now
+    fun record(hearsMajority: Boolean, now: Long) {
+        if (hearsMajority) {
+            hasHeardMajority = true
+        } else if (hasHeardMajority || now > START_MILLIS) {
+            lastMinorityAt = now
         }
     }
 
     /** Whether the hub, which hears most of the hubs at [now], has not lost them lately. */
-    fun isStable(now: Long): Boolean = now - outvotedAt >= RELINK_MILLIS
+    fun isStable(now: Long): Boolean = now - lastMinorityAt >= RELINK_MILLIS
 
     private companion object {
         /** Links that went silent together are replaced within this time of each other. */
