Name in the end of a request the servers that it was not sent to again

Cause: event=ended of the lost requests told neither that a silent server had been left before nor that the node was about to end, so that the hypotheses could only be told apart by lines that may be dropped, or that the users' record does not hold.

Change: tried=[SERVER: REASON] on every event=ended, node_ends_in_ms on a node that was asked to stop.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/AnswerTimings.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/AnswerTimings.kt
@@ -28,6 +28,8 @@
 
     override fun toString(): String {
         val firstMillis = if (firstEventAt < 0) firstEventAt else firstEventAt - startedAt
-        return "ms=${context.now() - startedAt} first_ms=$firstMillis gap_ms=$maxGapMillis"
+        val times = "ms=${context.now() - startedAt} first_ms=$firstMillis gap_ms=$maxGapMillis"
+        val nodeEndsAt = context.endsAt()
+        return if (nodeEndsAt == Long.MAX_VALUE) times else "$times node_ends_in_ms=${nodeEndsAt - context.now()}"
     }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -131,7 +131,7 @@
                 return@load dispatch(server, decision.estimateMillis)
             }
             log("load_failed", "$detail reason=$failure")
-            triedServers.exclude(server)
+            triedServers.exclude(server, "load: $failure")
             releaseServer()
             selectServer()
         }
@@ -216,7 +216,7 @@
         server.health.recordFailure()
         if (forwarder.started || !placement.mayRepeatFailed(counts.executions, timing, context.now())) return false
         releaseServer()
-        triedServers.exclude(server)
+        triedServers.exclude(server, "failed, ${forwarder.receivedStatusCode}")
         log("failed", "server=${server.id} runs=${counts.executions}")
         retry("failed")
         return true
@@ -227,7 +227,7 @@
         counts.executions++
         releaseServer()
         server.health.recordFailure()
-        triedServers.exclude(server)
+        triedServers.exclude(server, reason)
         val runs = "runs=${counts.executions} event=${forwarder.lastEventId} $traits"
         log("broken", "server=${server.id} reason=\"$reason\" $runs")
         if (finished) return
@@ -294,7 +294,7 @@
         context.openRequests.remove(this)
         context.metrics.recordRequest(route.kind.name, outcome.substringBefore(' '))
         val answer = "${forwarder.statuses("server")} caller=${request.place}"
-        log("ended", "outcome=$outcome sends=${counts.dispatches} $timings $answer $traits")
+        log("ended", "outcome=$outcome sends=${counts.dispatches} $timings $answer $triedServers $traits")
     }
 
     private fun log(event: String, detail: String) =
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/TriedServers.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/TriedServers.kt
@@ -7,16 +7,16 @@
 
 /** The backend servers that one request was sent to without success, and why they are not tried again. */
 internal class TriedServers(private val metadata: RequestMetadata) {
-    private val ids = HashSet<BackendServerId>()
+    private val reasons = LinkedHashMap<BackendServerId, String>()
     private val connections = HashSet<HttpConnection>()
 
     /** Servers that the request is not sent to again. */
     val excluded: Set<BackendServerId>
-        get() = ids
+        get() = reasons.keys
 
     /** Whether so many servers failed that another one will hardly do better. */
     val exhausted: Boolean
-        get() = ids.size > MAX_EXCLUDED
+        get() = reasons.size > MAX_EXCLUDED
 
     /** The server that reported last that it does not hold the adapter of the request. */
     var missingAdapter: Server? = null
@@ -33,14 +33,15 @@
         connections.add(connection)
     }
 
-    fun exclude(server: Server) {
-        ids.add(server.id)
+    /** Does not send the request to [server] again, for [reason]. */
+    fun exclude(server: Server, reason: String) {
+        reasons[server.id] = reason
     }
 
     /** Records that no connection to [server] could be had, for [failure]. */
     fun recordUnreachable(server: Server, failure: String, now: Long) {
         if (failure !in NOT_OF_THE_SERVER) server.health.recordUnreachable(now)
-        exclude(server)
+        exclude(server, failure)
     }
 
     /** Records that [server] stated in [head] that it did not execute the request. */
@@ -49,7 +50,7 @@
         when {
             head.isOfOtherThan(server.id) -> {
                 server.health.recordUnreachable(now)
-                exclude(server)
+                exclude(server, "replaced by ${head.serverId}")
             }
             head.misdirected -> {
                 metadata.adapter?.let(server::markAdapterMissing)
@@ -57,10 +58,15 @@
             }
             // It may have room again before the request must be answered; until then it is closed to all requests.
             head.pauseMillis != null -> Unit
-            else -> exclude(server)
+            else -> exclude(server, "not run, ${head.status}")
         }
     }
 
+    /** For the log: the servers that are not tried again, and why. */
+    override fun toString(): String = reasons.entries.joinToString(prefix = "tried=[", postfix = "]") {
+        "${it.key}: ${it.value}"
+    }
+
     private companion object {
         const val MAX_EXCLUDED = 3
 
