Keep the attempt at a silent server until another server answers

What callers saw: a stream, or a request that may be repeated, was cut in the middle, or got 502, although its server went on a moment later.

Cause: a request whose server is silent gave up its attempt there as soon as another server could take it. When the load of its adapter then failed, or the other server turned it away, failed, closed or was silent too, nothing was left. The class: what one has is given up before its replacement is certain.

Change: OpenAttempts keeps the attempt as a fallback. The request goes back to it when the silent server sends anything, or when it would end for want of another server. The fallback is ended when another server begins its answer, so that no two work on the same tokens. A part of an event that had arrived stays with the attempt that it came from. Dispatcher takes the sending of a request out of Exchange, which had grown too long.

Result: MovedRequestTest (other servers that refuse, fail, close, reset, send no answer or say nothing; before the first byte, between and inside events; with and without a planned stop; a load that fails) 44 of 45 cases red before, all pass now; SilentServerTest, PassedOnRequestTest, LongAnswerTest, DeadlyRequestTest and GatewaySoakTest pass.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -63,13 +63,14 @@
             context.log.write { "event=foreign_answer request=$requestId server=${server.id} answers=$other" }
             return false
         }
+        exchange.attempts.onAlive(this)
         forwarder.receivedStatusCode = head.status
         context.announcements.record(server, head, requestId)
         when {
             head.notExecuted || head.misdirected -> state = State.Discarding(head)
             !head.signed || head.impliesNotExecuted -> state = State.Discarding(head)
             head.success && forwarder.canContinueWith(response) -> forward(response)
-            forwarder.started -> state = State.Discarding(head)
+            forwarder.started || exchange.attempts.hasFallback -> state = State.Discarding(head)
             else -> forward(response)
         }
         return true
@@ -77,6 +78,7 @@
 
     override fun onBody(bytes: ByteBuf) {
         server.health.recordBytes(context.now())
+        exchange.attempts.onAlive(this)
         if (state != State.Forwarding) return discard(bytes)
         when {
             !exchange.continuity.trusts(server) -> connection.fail("server replaced by another software version")
@@ -99,7 +101,7 @@
 
     override fun onComplete() {
         when (val current = state) {
-            State.AwaitingHead -> exchange.onOutcomeUnknown(server, "no answer")
+            State.AwaitingHead -> exchange.onOutcomeUnknown(this, "no answer")
             State.Forwarding -> onForwardedResponseComplete()
             is State.Discarding -> onDiscardedResponseComplete(current.head)
         }
@@ -108,6 +110,7 @@
     override fun onFailure(reason: String) {
         val current = state
         if (current is State.Discarding && (current.head.notExecuted || current.head.misdirected)) {
+            exchange.attempts.onAlive(this)
             return exchange.onNotExecuted(server, current.head)
         }
         endBrokenOff(reason, connection.closedByServer)
@@ -118,13 +121,14 @@
         forwarder.endsInsideEvent || (forwarder.forwardsEvents && connection.endsWithConnection && eventCount == 0)
 
     private fun endBrokenOff(reason: String, closedByServer: Boolean) {
-        forwarder.discardUnsent()
+        if (state == State.Forwarding) forwarder.discardUnsent()
         if (closedByServer && eventCount < ANSWERED_EVENTS) exchange.requestGate.onClosedBeforeAnswer(server, sentAt)
-        exchange.onOutcomeUnknown(server, reason)
+        exchange.onOutcomeUnknown(this, reason)
     }
 
     private fun forward(response: HttpResponse) {
         state = State.Forwarding
+        exchange.attempts.onAnswerBegins()
         forwarder.onHead(response, connection)
     }
 
@@ -143,7 +147,7 @@
 
     private fun onDiscardedResponseComplete(head: ServerResponseMetadata) {
         if (head.notExecuted || head.misdirected) return exchange.onNotExecuted(server, head)
-        exchange.onOutcomeUnknown(server, "no usable answer: ${head.status} signed=${head.signed}")
+        exchange.onOutcomeUnknown(this, "no usable answer: ${head.status} signed=${head.signed}")
     }
 
     private fun recordEvent() {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -7,7 +7,6 @@
 import io.apricotslip.gateway.caller.CallerResponse
 import io.apricotslip.gateway.exchange.GatewayResponse.Companion.RETRY_AFTER_MILLIS
 import io.apricotslip.gateway.help.HandOver
-import io.apricotslip.gateway.server.HttpConnection
 import io.apricotslip.serving.crash.RequestStanding
 import io.apricotslip.serving.fleet.Server
 import io.apricotslip.serving.placement.PlacementDecision
@@ -45,21 +44,36 @@
     val requestGate = RequestGate(context, traits, service)
     private val sendCheck = SendCheck(context, requestGate, continuity)
     val silenceLimits = SilenceLimits(route.targetLatencyMillis, route.targetGapMillis)
-    private var reservation: Reservation? = null
     private val counts = AttemptCounts(continuity.isTakenUp)
+    val attempts = OpenAttempts(this, metadata, response, forwarder, counts, context.now)
     private var finished = false
     private val handOver = HandOver(context, request, response, metadata, route, deadlineAt)
     val detour =
         Detour(context, route, service, placement, timing, counts, triedServers, handOver, sendCheck, forwarder)
 
     /** The attempt in progress; null while the request is at no server. */
-    var attempt: Attempt? = null
-        private set
+    val attempt: Attempt?
+        get() = attempts.current
     private val deadlineTimer =
         context.loop.schedule(::endUnfinished, deadlineAt - context.now(), TimeUnit.MILLISECONDS)
     val runsOnce = route.kind == RouteKind.AT_MOST_ONCE
     val isStream = route.kind == RouteKind.STREAM
     val timings = AnswerTimings(context, route, request.arrivedAt)
+    private val dispatcher = Dispatcher(
+        exchange = this,
+        context,
+        service,
+        request,
+        response,
+        metadata,
+        placement,
+        timing,
+        forwarder,
+        sendCheck,
+        counts,
+        triedServers,
+        attempts,
+    )
     private val progress get() = counts.progress(forwarder.started)
 
     fun start() {
@@ -91,11 +105,11 @@
                 counts.suspended = true
                 return selectServerLater(min(standing.millis, RequestGate.SUSPENDED_POLL_MILLIS))
             }
-            is RequestStanding.Quarantined -> return refuse("quarantined", standing.millis)
+            is RequestStanding.Quarantined -> return endQuarantined(standing)
         }
         when (val decision = placement.choose(triedServers.excluded, timing, progress, context.now())) {
             is PlacementDecision.Send -> {
-                reserve(decision.server)
+                attempts.reserve(decision.server)
                 dispatch(decision.server, decision.estimateMillis)
             }
             is PlacementDecision.LoadAdapter -> loadAdapter(decision)
@@ -112,7 +126,7 @@
     }
 
     private fun selectServerLater(millis: Long) {
-        context.loop.schedule(::selectServer, millis, TimeUnit.MILLISECONDS)
+        attempts.nextSelection = context.loop.schedule(::selectServer, millis, TimeUnit.MILLISECONDS)
     }
 
     private fun loadAdapter(decision: PlacementDecision.LoadAdapter) {
@@ -121,10 +135,10 @@
         if (counts.loadsExhausted) return refuse("load_failed")
         val loadRequest = placement.loadRequest(adapter, decision.queueMillis, timing, progress, context.now())
         counts.loadRequests++
-        val reserved = reserve(server)
+        val reserved = attempts.reserve(server)
         val requestedAt = context.now()
         context.servers.adapterLoader.load(server, loadRequest, triedServers.missingAdapter === server) { failure ->
-            if (finished || reservation !== reserved) return@load
+            if (attempts.reservation !== reserved) return@load
             val detail = "server=${server.id} adapter=$adapter waited_ms=${context.now() - requestedAt}"
             if (failure == null) {
                 log("loaded", detail)
@@ -132,79 +146,39 @@
             }
             log("load_failed", "$detail reason=$failure")
             triedServers.exclude(server, "load: $failure")
-            releaseServer()
+            attempts.releaseCurrent()
             selectServer()
         }
     }
 
-    private fun releaseServer() {
-        attempt = null
-        reservation?.release()
-    }
-
-    private fun reserve(server: Server): Reservation {
-        reservation?.release()
-        return Reservation(server, metadata, context.now).also { reservation = it }
-    }
-
-    private fun dispatch(server: Server, estimateMillis: Long) {
-        val obstacle = sendCheck.obstacle(server)
-        if (obstacle != null) return selectOther(server, obstacle)
-        val budget = context.rules.retryBudget(service)
-        if (counts.dispatches > 0 && !budget.tryAcquire(context.now(), context.nodeCount())) return endWithoutRetry()
-        val reserved = reservation
-        val limit = placement.maxConnections()
-        val exclusive = metadata.needsOwnConnection(request.method)
-        val used = triedServers.usedConnections
-        context.servers.pool.acquire(server, limit, runsOnce, used, exclusive) { acquired, failure ->
-            when {
-                finished || reservation !== reserved -> acquired?.abandon()
-                acquired == null -> onUnreachable(server, failure.orEmpty())
-                else -> sendRequest(server, acquired, estimateMillis)
+    private fun dispatch(server: Server, estimateMillis: Long) =
+        dispatcher.dispatch(server, estimateMillis) { notSent ->
+            when (notSent) {
+                Dispatcher.NotSent.NoRetryBudget -> endWithoutRetry()
+                Dispatcher.NotSent.NoTime -> refuse("no_time", 0)
+                is Dispatcher.NotSent.Blocked -> selectOther(server, notSent.obstacle)
+                is Dispatcher.NotSent.Unreachable -> onUnreachable(server, notSent.failure)
             }
         }
-    }
 
     /** Selects again because [server] may not be sent the request any more, for [obstacle]. */
     private fun selectOther(server: Server, obstacle: String) {
         log("not_sent", "server=${server.id} reason=$obstacle")
-        reservation?.release()
+        attempts.releaseCurrent()
         selectServer()
     }
 
     private fun onUnreachable(server: Server, failure: String) {
         log("unreachable", "server=${server.id} reason=\"$failure\"")
         triedServers.recordUnreachable(server, failure, context.now())
-        reservation?.release()
+        attempts.releaseCurrent()
         if (triedServers.exhausted) return refuse("unreachable", unreachable = true)
         selectServer()
     }
 
-    private fun sendRequest(server: Server, acquired: HttpConnection, estimateMillis: Long) {
-        val now = context.now()
-        val budgetMillis = timing.serverBudgetMillis(now)
-        val obstacle = sendCheck.obstacle(server)
-        if (obstacle != null || budgetMillis <= 0) {
-            acquired.abandon()
-            return if (obstacle != null) selectOther(server, obstacle) else refuse("no_time", 0)
-        }
-        triedServers.recordConnection(acquired)
-        counts.dispatches++
-        reservation?.onSent()
-        val serverMetadata = placement.serverRequest(server, budgetMillis, forwarder.lastEventId, now)
-        val entry = "entry_age_ms=${now - server.entryReadAt} software=${server.entry.software}"
-        val state = "$entry after_event=${forwarder.lastEventId} estimate_ms=$estimateMillis"
-        log("sent", "server=${server.id} send=${counts.dispatches} $state")
-        val headers = context.dialect.serverRequestHeaders(request.headers, serverMetadata)
-        val sent = Attempt(this, context, forwarder, server, acquired, metadata.id, now, estimateMillis)
-        attempt = sent
-        acquired.send(request.method, request.uri, headers, request.body.retainedDuplicate(), sent)
-        acquired.setAutoRead(response.isWritable)
-    }
-
     /** Handles a response by which the server states that it did not execute the request. */
     fun onNotExecuted(server: Server, head: ServerResponseMetadata) {
-        releaseServer()
+        attempts.releaseCurrent()
         log("not_run", "server=${server.id} status=${head.status} answered_by=${head.serverId}")
         triedServers.recordNotExecuted(server, head, context.now())
         retry("not_run")
@@ -215,24 +189,36 @@
         counts.executions++
         server.health.recordFailure()
         if (forwarder.started || !placement.mayRepeatFailed(counts.executions, timing, context.now())) return false
-        releaseServer()
+        attempts.releaseCurrent()
         triedServers.exclude(server, "failed, ${forwarder.receivedStatusCode}")
         log("failed", "server=${server.id} runs=${counts.executions}")
         retry("failed")
         return true
     }
 
-    /** Handles an attempt after which it is unknown whether the server executed the request. */
-    fun onOutcomeUnknown(server: Server, reason: String) {
-        counts.executions++
-        releaseServer()
+    /** Handles the end of [ended], after which it is unknown whether the server executed the request. */
+    fun onOutcomeUnknown(ended: Attempt, reason: String) {
+        val wasFallback = attempts.onOutcomeUnknown(ended)
+        recordUnknown(ended.server, reason)
+        if (finished || wasFallback) return
+        val repeatable = route.retryable && counts.executions < route.maxAttempts && forwarder.canContinue
+        if (repeatable) retry("broken") else endAsLost(reason)
+    }
+
+    private fun recordUnknown(server: Server, reason: String) {
         server.health.recordFailure()
         triedServers.exclude(server, reason)
         val runs = "runs=${counts.executions} event=${forwarder.lastEventId} $traits"
         log("broken", "server=${server.id} reason=\"$reason\" $runs")
-        if (finished) return
-        val repeatable = route.retryable && counts.executions < route.maxAttempts && forwarder.canContinue
-        if (repeatable) retry("broken") else endAsLost(reason)
+    }
+
+    /** Tries the request elsewhere, because its server is silent, and keeps the attempt there until another answers. */
+    fun tryElsewhere() {
+        val silent = attempt ?: return
+        if (attempts.hasFallback) return silent.fail(SERVER_SILENT)
+        attempts.keepAsFallback()
+        recordUnknown(silent.server, SERVER_SILENT)
+        retry("broken")
     }
 
     /** Ends the request at once if it waits for an answer and has been put into quarantine. */
@@ -240,6 +226,11 @@
         val standing = requestGate.standing()
         if (finished || requestGate.answered || standing !is RequestStanding.Quarantined) return
         if (attempt != null) counts.executions++
+        endQuarantined(standing)
+    }
+
+    private fun endQuarantined(standing: RequestStanding.Quarantined) {
+        attempts.abandonFallback()
         refuse("quarantined", standing.millis)
     }
 
@@ -247,7 +238,7 @@
 
     /** Records the first byte or event for the caller. */
     fun onFirstEvent(millisSinceSend: Long, pendingPromptTokensBefore: Long, server: Server) {
-        reservation?.onPromptProcessed()
+        attempts.reservation?.onPromptProcessed()
         if (forwarder.success) continuity.onEvent(server)
         timings.recordFirstEvent(millisSinceSend, pendingPromptTokensBefore, server)
     }
@@ -262,13 +253,14 @@
 
     /** Ends a request that may have been executed and whose response was lost. */
     private fun endAsLost(reason: String) {
+        if (attempts.fallBack(reason)) return
         gatewayResponse.sendLost()
         finish("lost reason=\"$reason\"", keepConnection = false)
     }
 
     /** Ends a request that has not been executed and will not be. */
     private fun refuse(reason: String, retryAfterMillis: Long = RETRY_AFTER_MILLIS, unreachable: Boolean = false) {
-        if (passOn(reason, unreachable)) return
+        if (attempts.fallBack(reason) || passOn(reason, unreachable)) return
         if (counts.executions > 0 || forwarder.started) return endAsLost(reason)
         context.metrics.recordRefusal(reason)
         val after = gatewayResponse.sendNotExecuted(retryAfterMillis, declines = unreachable)
@@ -287,8 +279,7 @@
         if (finished) return
         finished = true
         deadlineTimer.cancel(false)
-        if (keepConnection) attempt?.setAutoRead(true) else attempt?.abandon()
-        releaseServer()
+        attempts.end(keepConnection)
         forwarder.release()
         request.body.release()
         context.openRequests.remove(this)
@@ -297,6 +288,11 @@
         log("ended", "outcome=$outcome sends=${counts.dispatches} $timings $answer $triedServers $traits")
     }
 
-    private fun log(event: String, detail: String) =
+    /** Logs [event] of this request. */
+    fun log(event: String, detail: String) =
         context.log.write { "event=$event request=${metadata.id} route=${route.name} $detail" }
+
+    private companion object {
+        const val SERVER_SILENT = "server silent"
+    }
 }
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/SilenceWatch.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/SilenceWatch.kt
@@ -7,8 +7,9 @@
  * Takes requests away from servers that are silent.
  *
  * A server that is silent for a second may be sound, and nothing tells a pause from an end while it lasts. So only a
- * request that can go on elsewhere is taken away, once the server where it would go on was heard after the silence
- * began: what is silent may be the links of this node, or all servers. Every other request waits for its answer. It
+ * request that can go on elsewhere is tried there, once the server where it would go on was heard after the silence
+ * began: what is silent may be the links of this node, or all servers. The attempt at the silent server is kept until
+ * another one answers, since the request may be turned away there. Every other request waits for its answer. It
  * ends with its deadline, with its caller, or when TCP keepalive shows that the connection is dead.
  *
  * @param openRequests requests in flight at this node.
@@ -31,7 +32,7 @@
         val attempt = exchange.attempt ?: return
         val alternative = exchange.detour.serverInsteadOf(attempt.server)
         val canGoOn = alternative != null && isHeardSince(attempt, alternative)
-        if (canGoOn || exchange.detour.leadsToOtherNode()) attempt.fail("server silent")
+        if (canGoOn || exchange.detour.leadsToOtherNode()) exchange.tryElsewhere()
     }
 
     /** The server where the request of [exchange] could go on, if it was not heard since the silence began. */
