Do not take a pause of reading for silence of the server

What callers saw: a stream whose caller did not read for a second was moved to another server, which drew on the retry budget and made the service work twice; where nothing else served it, it was lost before the attempt at the first server was kept.

Cause: a node stops reading from a server while the caller does not read. The bytes that wait unread count as silence of the server then.

Change: no silence is counted while the node does not read, and the time of a silence or of a stalled stream begins anew when it reads again.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -32,13 +32,18 @@
     private var state: State = State.AwaitingHead
     private var awaitingFirstEvent = true
     private var lastEventAt = 0L
+    private var readAgainAt = 0L
     private var discardedBytes = 0L
     private var eventCount = 0
 
-    /** Time of the last byte from the server, or of the request, in milliseconds of the monotonic clock. */
+    /** Since when the server is silent, for all that is known, in milliseconds of the monotonic clock. */
     val lastActiveAt: Long
         get() = connection.lastActiveAt
 
+    /** Whether this node does not read from the server, because the caller does not read. */
+    val readingPaused: Boolean
+        get() = connection.readingPaused
+
     /** Longest time without a byte that is expected of a sound server now, in milliseconds. */
     val maxSilenceMillis: Long
         get() = when (state) {
@@ -53,7 +58,10 @@
     fun abandon() = connection.abandon()
 
     /** Pauses or resumes reading the response. */
-    fun setAutoRead(enabled: Boolean) = connection.setAutoRead(enabled)
+    fun setAutoRead(enabled: Boolean) {
+        if (enabled && readingPaused) readAgainAt = context.now()
+        connection.setAutoRead(enabled)
+    }
 
     override fun onHead(response: HttpResponse): Boolean {
         server.health.recordBytes(context.now())
@@ -90,7 +98,7 @@
 
     /** Whether bytes arrive but no event has been complete for so long that the stream is not merely slow. */
     private fun isStalled(): Boolean = exchange.isStream &&
-        context.now() - maxOf(lastEventAt, sentAt) > exchange.silenceLimits.betweenEvents
+        context.now() - maxOf(lastEventAt, sentAt, readAgainAt) > exchange.silenceLimits.betweenEvents
 
     /** Discards a part of a body that is no answer; a server may send such bytes without end. */
     private fun discard(bytes: ByteBuf) {
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/SilenceWatch.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/SilenceWatch.kt
@@ -49,7 +49,7 @@
 
     private fun isSilent(attempt: Attempt, now: Long): Boolean {
         val silentMillis = now - attempt.lastActiveAt
-        return silentMillis > attempt.maxSilenceMillis &&
+        return !attempt.readingPaused && silentMillis > attempt.maxSilenceMillis &&
             (silentMillis > MAX_CONNECTION_SILENCE_MILLIS || isServerSilent(attempt, now))
     }
 
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -54,7 +54,7 @@
     private var skippedBytes = 0L
     private var skipped = ResponseStartSearch()
 
-    /** Time of the last received byte or sent request, in milliseconds of the monotonic clock. */
+    /** Time of the last received byte, sent request or end of a pause of reading, in ms of the monotonic clock. */
     public var lastActiveAt: Long = 0
         private set
 
@@ -137,8 +137,13 @@
         channel.close()
     }
 
-    /** Pauses or resumes reading from the server. */
+    /** Whether this node does not read from the server, so that nothing tells whether the server is silent. */
+    public val readingPaused: Boolean
+        get() = !channel.config().isAutoRead
+
+    /** Pauses or resumes reading from the server; a silence of the server is counted from the end of a pause. */
     public fun setAutoRead(enabled: Boolean) {
+        if (enabled && readingPaused) lastActiveAt = now()
         channel.config().isAutoRead = enabled
     }
 
