End the run elsewhere when only the last chunk of a stream was outstanding

What servers saw: a stream whose last chunk came after a silence was complete for its caller, but the run that it had been moved to went on until its server ended it.

The end of an answer reaches Attempt without a body when its last chunk comes by itself, and only the head and the body were taken for a sign of life.

Change: the end is one too.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Attempt.kt
@@ -108,6 +108,7 @@
     }
 
     override fun onComplete() {
+        exchange.attempts.onAlive(this)
         when (val current = state) {
             State.AwaitingHead -> exchange.onOutcomeUnknown(this, "no answer")
             State.Forwarding -> onForwardedResponseComplete()
