Pass a request on to another node before it goes back to a silent server

At a node that reaches no server, a request that is refused here went back to the silent connection first, and was passed on only after the next check, so that a cut would have cost its callers one more turn.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/exchange/Exchange.kt
@@ -260,7 +260,7 @@
 
     /** Ends a request that has not been executed and will not be. */
     private fun refuse(reason: String, retryAfterMillis: Long = RETRY_AFTER_MILLIS, unreachable: Boolean = false) {
-        if (attempts.fallBack(reason) || passOn(reason, unreachable)) return
+        if (passOn(reason, unreachable) || attempts.fallBack(reason)) return
         if (counts.executions > 0 || forwarder.started) return endAsLost(reason)
         context.metrics.recordRefusal(reason)
         val after = gatewayResponse.sendNotExecuted(retryAfterMillis, declines = unreachable)
