Refuse an answer whose status is none of HTTP

What callers saw: an answer of a backend server with status 000 reached its caller as an answer, sealed and with its body (MIXED). So did 001, 099, 0, 00, 20, 2000, +20, "20 0", 600 and 999 on routes that run a request at most once; 0200 and +200 became a 200 on every route. Where a request may be repeated, the false status counted as a failure of the server and another one was asked.

Cause: Netty's decoder makes a number of the status before any check of ours sees the head. "0200" and "+200" are 200 by then, and nothing asked whether 0 or 2000 is a status.

Change: StrictResponseDecoder checks the words of a status line as they arrived. RFC 9112, section 4, has three digits; RFC 9110, section 15, says that those outside of 100 to 599 are invalid and stand for a server error, which is how 600 to 999 are now treated too. Such an answer fails like any that can't be read: 502 or another server, never 503, as the request may have run. The check of the version moves there from ResponseHead. The new module apricotslip-http holds what a head may be, for each client of the system.

TextCallTest, what the store's pages, orders and reports are read with: both new cases failed ("202 ok" for 0202, "0 ok" for 000).

--- a/apricotslip-core/src/test/kotlin/io/apricotslip/core/modules/ModuleRulesTest.kt
+++ b/apricotslip-core/src/test/kotlin/io/apricotslip/core/modules/ModuleRulesTest.kt
@@ -53,6 +53,7 @@
         "settings, 'rules,safety,wire,platform,backends,core'",
         "rules, 'settings,safety,wire,platform,backends,core'",
         "safety, 'settings,rules,wire,platform,backends,core'",
+        "http, 'api,settings,rules,safety,wire,platform,backends,core'",
         "wire, 'settings,rules,safety,platform,backends,core'",
         "platform, 'settings,rules,safety,wire,backends,core'",
         "backends, 'settings,rules,safety,wire,platform,core'",
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseDecoder.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseDecoder.kt
@@ -1,10 +1,9 @@
 package io.apricotslip.gateway.server
 
+import io.apricotslip.http.StrictResponseDecoder
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpResponseDecoder
 
 /**
  * Decodes the responses on a connection to a server.
@@ -16,12 +15,9 @@
  * @param onStray receives the number of bytes that belong to no response; they are dropped.
  */
 internal class ResponseDecoder(private val expectsResponse: () -> Boolean, private val onStray: (bytes: Int) -> Unit) :
-    HttpResponseDecoder(
+    StrictResponseDecoder(
         HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setInitialBufferSize(HEADER_BUFFER_BYTES),
     ) {
-    /** Whether the response expected is to a HEAD request, and has no body whatever its headers say. */
-    var respondsToHead: Boolean = false
-
     override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (expectsResponse()) return super.decode(ctx, buffer, out)
         val bytes = buffer.readableBytes()
@@ -29,8 +25,6 @@
         if (bytes > 0) onStray(bytes)
     }
 
-    override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean = respondsToHead || super.isContentAlwaysEmpty(msg)
-
     private companion object {
         const val MAX_HEADER_BYTES = 32_768
         const val HEADER_BUFFER_BYTES = 512
--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseHead.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/ResponseHead.kt
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpVersion
 
 /**
  * Judges whether the head of a response is that of one response, and not of a part of one joined to the next.
@@ -13,14 +12,12 @@
 internal object ResponseHead {
     private const val PROTOCOL = "HTTP/"
     private val STATUS_LINE = Regex("""HTTP/\d\.\d \d{3}""")
-    private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
 
     /** What is wrong with the head of [response]; null if nothing is. */
     fun fault(response: HttpResponse): String? {
         val failure = response.decoderResult().cause()
         return when {
             failure != null -> failure.message ?: failure.javaClass.simpleName
-            response.protocolVersion() !in VERSIONS -> "version ${response.protocolVersion()}"
             holdsStatusLine(response.status().reasonPhrase()) -> "status line in a reason phrase"
             else -> fault(response.headers())
         }
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/TextCallTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/TextCallTest.kt
@@ -25,6 +25,8 @@
         Case("the answer", listOf(answer), listOf("202 ok")),
         Case("a late copy of the answer to a request, then the answer", listOf(lateCopy, answer), listOf("202 ok")),
         Case("only a late copy", listOf(lateCopy), emptyList()),
+        Case("status 0202", listOf(answer.replace("202", "0202")), listOf("none")),
+        Case("status 000", listOf(answer.replace("202", "000")), listOf("none")),
         Case(
             "a body without end",
             listOf("HTTP/1.1 200 OK\r\n\r\n") + List(100) { "x".repeat(100) },
