Refuse an answer with a control byte in its reason phrase

What callers saw: an answer whose reason phrase held a control byte, on every route.

Cause: Netty looks for line breaks in a reason phrase and lets all other bytes pass; it stood unchecked in the status line that went to the caller.

Change: the reason phrase is checked with the other words of the status line. RFC 9112, section 4, has tabs, blanks, visible characters and bytes beyond ASCII there; an empty phrase, or none, still arrives.

--- a/apricotslip-http/src/main/kotlin/io/apricotslip/http/StrictResponseDecoder.kt
+++ b/apricotslip-http/src/main/kotlin/io/apricotslip/http/StrictResponseDecoder.kt
@@ -16,8 +16,8 @@
     public var respondsToHead: Boolean = false
 
     override fun createMessage(initialLine: Array<String>): HttpMessage {
-        val (version, status) = initialLine
-        ResponseHeadGrammar.checkStatusLine(version, status)
+        val (version, status, reason) = initialLine
+        ResponseHeadGrammar.checkStatusLine(version, status, reason)
         return super.createMessage(initialLine)
     }
 
--- a/apricotslip-http/src/test/kotlin/io/apricotslip/http/StrictResponseDecoderTest.kt
+++ b/apricotslip-http/src/test/kotlin/io/apricotslip/http/StrictResponseDecoderTest.kt
@@ -78,6 +78,8 @@
             response("HTTP/1.1 200 all\tis w\u00e4ll (yes)"),
             true,
         ),
+        Case("a control byte in the reason", response("HTTP/1.1 200 O\u0001K"), false),
+        Case("a delete in the reason", response("HTTP/1.1 200 O\u007fK"), false),
         Case("version 1.0", response("HTTP/1.0 200 OK"), true),
         Case("version 1.2", response("HTTP/1.2 200 OK"), false),
         Case("version 2.0", response("HTTP/2.0 200 OK"), false),
@@ -102,6 +104,7 @@
     @TestFactory
     fun `a refusal names the part in printable characters`() = listOf(
         "HTTP/1.1 000 OK" to "status '000'",
+        "HTTP/1.1 200 O\u0001K" to "reason phrase 'O\\x01K'",
     ).map { (head, reason) ->
         DynamicTest.dynamicTest(reason) {
             val cause = decode("$head\r\n\r\n", Int.MAX_VALUE).response?.decoderResult()?.cause()
