Refuse an answer with a name of a field that is none of HTTP

What callers saw: an answer in whose head a name held a blank or a tab reached its caller as a 200, with a part of that line ("X Y: 1" as "X: 1"), or with a second seal. Where "Content-Length x: 3" or "Content-Length : 3" was the only length, it came with the first three bytes of the body, sealed (MIXED). A line of several words without a colon was passed on as a field. In interim answers and in trailers such lines were accepted too.

Cause: in a response Netty's decoder ends the name at the first blank and skips to the colon, or to the end of the line. The parsed name is a token, so that ResponseHead found nothing wrong with it.

Change: StrictResponseDecoder looks at the bytes of the line: all of the name must be a token and the colon must follow at once (RFC 9112, section 5.1; a proxy must not pass on a blank there, and what "Content-Length : 3" meant can't be known). That acts in heads, interim answers, trailers, answers to other requests that are skipped, and answers that another node passes on. The check of parsed names in ResponseHead goes: this one is the stricter. Broken trailers are named in the log. A stream whose trailers are broken ends as one that breaks off, as it did for a control byte there.

Handled before, and kept as tests: control bytes, an empty name, other characters that no token has, a second length, a request id that names another request. TextCallTest: 4 of 5 new cases failed ("202 o" for "ok"; the head of a late copy that is skipped; an interim answer). StrictResponseDecoderTest has each byte at each place of a name, in one read and byte by byte.

--- a/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
+++ b/apricotslip-gateway/src/main/kotlin/io/apricotslip/gateway/server/HttpConnection.kt
@@ -246,7 +246,7 @@
 
     private fun receiveContent(content: HttpContent) {
         val last = content is LastHttpContent
-        if (content.decoderResult().isFailure) return fail("answer cut off")
+        if (content.decoderResult().isFailure) return fail(ResponseHead.faultInBody(content.decoderResult().cause()))
         val trailers = (content as? LastHttpContent)?.trailingHeaders() ?: NO_TRAILERS
         if (skippingResponse) return skip(content.content(), trailers, last)
         if (!receivingResponse) return fail("body without a head")
--- a/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/TextCallTest.kt
+++ b/apricotslip-gateway/src/test/kotlin/io/apricotslip/gateway/server/TextCallTest.kt
@@ -27,6 +27,11 @@
         Case("only a late copy", listOf(lateCopy), emptyList()),
         Case("status 0202", listOf(answer.replace("202", "0202")), listOf("none")),
         Case("status 000", listOf(answer.replace("202", "000")), listOf("none")),
+        Case("a blank in a name", listOf(answer.replace("Content", "X Y: 1\r\nContent")), listOf("none")),
+        Case("a blank after the name of the length", listOf(answer.replace(": 2", " : 1")), listOf("none")),
+        Case("a control byte in a name", listOf(answer.replace("Content", "X\u0001: 1\r\nContent")), listOf("none")),
+        Case("a late copy with a broken head", listOf(lateCopy.replace("Id:", "Id :"), answer), listOf("none")),
+        Case("a broken interim answer", listOf("HTTP/1.1 103 Hints\r\nX Y: 1\r\n\r\n", answer), listOf("none")),
         Case(
             "a body without end",
             listOf("HTTP/1.1 200 OK\r\n\r\n") + List(100) { "x".repeat(100) },
--- a/apricotslip-http/src/main/kotlin/io/apricotslip/http/MalformedHeadException.kt
+++ b/apricotslip-http/src/main/kotlin/io/apricotslip/http/MalformedHeadException.kt
@@ -1,4 +1,4 @@
 package io.apricotslip.http
 
-/** A response has a head that HTTP does not allow. [message] names the part. */
+/** A response has a head or trailers that HTTP does not allow. [message] names the part. */
 public class MalformedHeadException(override val message: String) : IllegalArgumentException(message)
--- a/apricotslip-http/src/test/kotlin/io/apricotslip/http/StrictResponseDecoderTest.kt
+++ b/apricotslip-http/src/test/kotlin/io/apricotslip/http/StrictResponseDecoderTest.kt
@@ -68,6 +68,27 @@
         }
     }
 
+    @TestFactory
+    fun `a name is a token with a colon after it, whatever the byte and its place`() = listOf(
+        "first" to { byte: Char -> "${byte}Name: 1" },
+        "inside" to { byte: Char -> "Na${byte}me: 1" },
+        "last" to { byte: Char -> "Name$byte: 1" },
+        "alone" to { byte: Char -> "$byte: 1" },
+    ).map { (name, line) ->
+        DynamicTest.dynamicTest(name) {
+            val bytes = (0..255).map { it.toChar() }
+            // A line feed ends the line; a colon inside ends the name, and what follows is the value.
+            val judged = bytes.filterNot { it == '\n' || it == ':' && name in listOf("inside", "last") }.map { byte ->
+                val isToken = byte.code < 0x80 && (byte.isLetterOrDigit() || byte in "!#$%&'*+-.^_`|~")
+                response("HTTP/1.1 200 OK", "Before: 1", line(byte)) to (isToken || isFold(name, byte))
+            }
+            expectThat(misjudged(judged)).isEmpty()
+        }
+    }
+
+    /** A line that begins with a blank continues the value before it. */
+    private fun isFold(place: String, byte: Char) = place in listOf("first", "alone") && (byte == ' ' || byte == '\t')
+
     private class Case(val name: String, val text: String, val sound: Boolean)
 
     private val cases = listOf(
@@ -93,7 +114,14 @@
         Case("letters beyond ASCII in a value", response("HTTP/1.1 200 OK", "X: \u00e4"), true),
         Case("a control byte in a value", response("HTTP/1.1 200 OK", "X: a\u0001b"), false),
         Case("a carriage return in a value", response("HTTP/1.1 200 OK", "X: a\rb"), false),
+        Case("words without a colon", response("HTTP/1.1 200 OK", "several words"), false),
+        Case("a word without a colon", response("HTTP/1.1 200 OK", "word"), false),
+        Case("a blank before the first field", "HTTP/1.1 200 OK\r\n Content-Length: 4\r\n\r\nbody", false),
         Case("sound trailers", chunked("X: 1\r\n"), true),
+        Case("a blank in a name in trailers", chunked("X Y: 1\r\n"), false),
+        Case("a blank after a name in trailers", chunked("X : 1\r\n"), false),
+        Case("a control byte in a name in trailers", chunked("X\u0001: 1\r\n"), false),
+        Case("words in trailers", chunked("several words\r\n"), false),
     )
 
     @TestFactory
@@ -105,6 +133,10 @@
     fun `a refusal names the part in printable characters`() = listOf(
         "HTTP/1.1 000 OK" to "status '000'",
         "HTTP/1.1 200 O\u0001K" to "reason phrase 'O\\x01K'",
+        "HTTP/1.1 200 OK\r\nX Y: 1" to "field name 'X' that no colon follows",
+        "HTTP/1.1 200 OK\r\nX\u0000\"Y: 1" to "field name 'X\\x00\\x22Y'",
+        "HTTP/1.1 200 OK\r\n: 1" to "field without a name",
+        "HTTP/1.1 200 OK\r\n${"(".repeat(100)}: 1" to "field name '${"(".repeat(60)}...'",
     ).map { (head, reason) ->
         DynamicTest.dynamicTest(reason) {
             val cause = decode("$head\r\n\r\n", Int.MAX_VALUE).response?.decoderResult()?.cause()
