Refuse an answer with a control byte that the parser trims

What callers saw: an answer whose head held a control byte at an end of a folded line, on every route, with the value but without that byte.

Cause: Netty trims each line that continues a value, and control bytes count as white space there. The value that is checked afterwards no longer has them. It is the same class as a name that ends at a blank: a parsed message doesn't show what the parser left out.

Change: StrictResponseDecoder checks the bytes that the parser takes for a head. RFC 9110, section 5.5, and RFC 9112 allow no control byte there but a tab and the end of a line. That covers the reason phrase too, whose own check goes. What follows a head that is refused for it is dropped. Bodies are not looked at.

--- a/apricotslip-http/src/main/kotlin/io/apricotslip/http/ResponseHeadGrammar.kt
+++ b/apricotslip-http/src/main/kotlin/io/apricotslip/http/ResponseHeadGrammar.kt
@@ -19,10 +19,9 @@
     }
 
     /** Checks the words of a status line. A [status] outside of 100 to 599 is invalid (RFC 9110, section 15). */
-    fun checkStatusLine(version: String, status: String, reason: String) {
+    fun checkStatusLine(version: String, status: String) {
         if (version !in VERSIONS) throw MalformedHeadException("version ${quote(version)}")
         if (!STATUS_CODE.matches(status)) throw MalformedHeadException("status ${quote(status)}")
-        if (!reason.all(::isReasonCharacter)) throw MalformedHeadException("reason phrase ${quote(reason)}")
     }
 
     /**
@@ -40,10 +39,11 @@
         }
     }
 
-    private fun isTokenByte(byte: Byte) = byte >= 0 && TOKEN_CHARACTERS[byte.toInt()]
+    /** The fault of a head that holds the control byte [byte]. */
+    fun controlByte(byte: Byte): MalformedHeadException =
+        MalformedHeadException("control byte ${quote(byte.toInt().toChar().toString())}")
 
-    private fun isReasonCharacter(character: Char) =
-        character in ' '..'~' || character == '\t' || character.code >= NOT_ASCII
+    private fun isTokenByte(byte: Byte) = byte >= 0 && TOKEN_CHARACTERS[byte.toInt()]
 
     private fun quote(line: ByteArray, start: Int, length: Int) =
         quote(String(line, start, length, Charsets.ISO_8859_1))
--- a/apricotslip-http/src/test/kotlin/io/apricotslip/http/StrictResponseDecoderTest.kt
+++ b/apricotslip-http/src/test/kotlin/io/apricotslip/http/StrictResponseDecoderTest.kt
@@ -114,9 +114,16 @@
         Case("letters beyond ASCII in a value", response("HTTP/1.1 200 OK", "X: \u00e4"), true),
         Case("a control byte in a value", response("HTTP/1.1 200 OK", "X: a\u0001b"), false),
         Case("a carriage return in a value", response("HTTP/1.1 200 OK", "X: a\rb"), false),
+        Case("a NUL in a folded line", response("HTTP/1.1 200 OK", "X: a", " \u0000b"), false),
         Case("words without a colon", response("HTTP/1.1 200 OK", "several words"), false),
         Case("a word without a colon", response("HTTP/1.1 200 OK", "word"), false),
         Case("a blank before the first field", "HTTP/1.1 200 OK\r\n Content-Length: 4\r\n\r\nbody", false),
+        Case("a carriage return at the end of a folded line", response("HTTP/1.1 200 OK", "X: a", " b\r"), false),
+        Case("a control byte at the end of a value", response("HTTP/1.1 200 OK", "X: a\u000b"), false),
+        Case("a control byte before a value", response("HTTP/1.1 200 OK", "X:\u000ca"), false),
+        Case("a control byte before the status line", "\u0000" + response("HTTP/1.1 200 OK"), false),
+        Case("a control byte for a blank in the status line", response("HTTP/1.1\u000b200 OK"), false),
+        Case("a line feed alone", response("HTTP/1.1 200 OK", "X: a\nY: b"), false),
         Case("sound trailers", chunked("X: 1\r\n"), true),
         Case("a blank in a name in trailers", chunked("X Y: 1\r\n"), false),
         Case("a blank after a name in trailers", chunked("X : 1\r\n"), false),
@@ -132,7 +139,7 @@
     @TestFactory
     fun `a refusal names the part in printable characters`() = listOf(
         "HTTP/1.1 000 OK" to "status '000'",
-        "HTTP/1.1 200 O\u0001K" to "reason phrase 'O\\x01K'",
+        "HTTP/1.1 200 O\u0001K" to "control byte '\\x01'",
         "HTTP/1.1 200 OK\r\nX Y: 1" to "field name 'X' that no colon follows",
         "HTTP/1.1 200 OK\r\nX\u0000\"Y: 1" to "field name 'X\\x00\\x22Y'",
         "HTTP/1.1 200 OK\r\n: 1" to "field without a name",
@@ -145,12 +152,13 @@
     }
 
     private companion object {
-        const val BODY = "body"
+        /** Holds bytes that no head may have. */
+        const val BODY = "bo\u0001\ndy"
 
         /** Statuses of responses that have no body. */
         val WITHOUT_BODY = setOf("204", "205", "304")
 
         fun chunked(trailers: String) =
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n$BODY\r\n0\r\n$trailers\r\n"
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${BODY.length}\r\n$BODY\r\n0\r\n$trailers\r\n"
     }
 }
