Refuse broken heads in the clients of engines, services, platform and nodes

What callers saw: a call of a plain service with status 000 or 0201, or with a blank in a name, was answered as completed, with "Content-Length : 1" by one byte of the body; a generation went on, and an order counted as done. The client of the platform took "X-Revision x: 7" for the revision and two bytes for the value; the operators' client printed such answers.

These clients are built on Reactor Netty, whose codec has a decoder of its own that no check can be added to.

Change: StrictClientCodec takes the place of that codec on each connection (one line for each client) and decodes with StrictResponseDecoder. It remembers a HEAD request, whose answer has no body. A call that was sent and whose answer is refused counts as unknown, and is not sent again.

--- a/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/http/HttpBackend.kt
+++ b/apricotslip-backends/src/main/kotlin/io/apricotslip/backends/http/HttpBackend.kt
@@ -1,5 +1,6 @@
 package io.apricotslip.backends.http
 
+import io.apricotslip.http.StrictClientCodec
 import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.HttpHeaderNames
 import org.reactivestreams.Publisher
@@ -7,6 +8,7 @@
 import reactor.core.publisher.Mono
 import reactor.netty.ByteBufFlux
 import reactor.netty.NettyOutbound
+import reactor.netty.NettyPipeline
 import reactor.netty.http.client.HttpClient
 import reactor.netty.http.client.HttpClientRequest
 import reactor.netty.http.client.HttpClientResponse
@@ -65,6 +67,7 @@
         .followRedirect(false)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
         .option(ChannelOption.TCP_NODELAY, true)
+        .doOnChannelInit { _, channel, _ -> StrictClientCodec.install(channel.pipeline(), NettyPipeline.HttpCodec) }
 
     private fun prepare(call: HttpCall, attempt: Attempt): HttpClient.ResponseReceiver<*> =
         (if (call.reuseConnection) pooledClient else unpooledClient)
--- a/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/engine/GenerateTest.kt
+++ b/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/engine/GenerateTest.kt
@@ -106,6 +106,10 @@
             Case("closed within the status", 0, "connection") { send("HTTP/1.1 2").also { close() } },
             Case("closed within the headers", 0, "connection") { send("HTTP/1.1 200 OK\r\nCont").also { close() } },
             Case("an answer that is not HTTP", 0, "connection") { send("220 mail ready\r\n\r\n").also { close() } },
+            Case("status 0200", 0, "connection") { send("HTTP/1.1 0200 OK\r\n\r\n").also { streamEvents() } },
+            Case("a blank in a name", 0, "connection") {
+                send("HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n").also { streamEvents() }
+            },
             Case("silent without an answer", 0, "silent") { },
             Case("closed after the headers", 0, "cut") { streamAndClose() },
             Case("closed after a token", 1, "cut") { streamAndClose(token(0)) },
@@ -126,6 +130,12 @@
         }
     }
 
+    /** Sends a token and the end of a stream, without a head, and closes. */
+    private fun Socket.streamEvents() {
+        send("data: ${token(0)}\n\ndata: ${end(1)}\n\n")
+        close()
+    }
+
     @Nested
     inner class `an invalid or incomplete stream` {
         @TestFactory
--- a/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/engine/OrdersTest.kt
+++ b/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/engine/OrdersTest.kt
@@ -53,6 +53,12 @@
             Triple("half an answer", anyUnanswered) {
                 send("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"seq").also { close() }
             },
+            Triple("status 0200", anyUnanswered) {
+                send("HTTP/1.1 0200 OK\r\nContent-Length: 14\r\n\r\n{\"sequence\":9}")
+            },
+            Triple("a blank in a name", anyUnanswered) {
+                send("HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 14\r\n\r\n{\"sequence\":9}")
+            },
             Triple("closed", anyUnanswered) { close() },
             Triple("silent", anyUnanswered) { },
         ).map { (name, expected, respond) ->
--- a/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/service/HttpServiceClientTest.kt
+++ b/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/service/HttpServiceClientTest.kt
@@ -56,6 +56,26 @@
         }
     }
 
+    @TestFactory
+    fun `a sound answer with an unusual head completes the call`() = listOf(
+        "no reason" to "HTTP/1.1 201\r\nContent-Length: 2\r\n\r\n{}",
+        "blanks around a value" to "HTTP/1.1 201 X\r\nX: \t1 \r\ncONTENT-lENGTH:2\r\n\r\n{}",
+        "trailers" to "HTTP/1.1 201 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX: 1\r\n\r\n",
+    ).map { (name, answer) ->
+        DynamicTest.dynamicTest(name) {
+            val outcome = RawServer { socket, _ -> socket.send(answer) }.use { call(it.port) }
+            expectThat(outcome).isA<Outcome.Completed<ServiceAnswer>>().get { value.body.decodeToString() }
+                .isEqualTo("{}")
+        }
+    }
+
+    @Test
+    fun `an answer to a HEAD request has no body whatever its length`() {
+        val server = RawServer { socket, _ -> socket.send("HTTP/1.1 201 X\r\nContent-Length: 9\r\n\r\n") }
+        val outcome = server.use { call(it.port, reservation(method = "HEAD")) }
+        expectThat(outcome).isA<Outcome.Completed<ServiceAnswer>>().get { value.body.size }.isEqualTo(0)
+    }
+
     @Nested
     inner class `a call that was sent and has no complete response` {
         @TestFactory
@@ -65,6 +85,17 @@
             "closed within the body" to { send("HTTP/1.1 201 X\r\nContent-Length: 9\r\n\r\n{").also { close() } },
             "an answer that is not HTTP" to { send("hello\r\n\r\n").also { close() } },
             "an answer that is too long" to { answer(201, "x".repeat(501)) },
+            "status 000" to { send("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}") },
+            "status 0201" to { send("HTTP/1.1 0201 X\r\nContent-Length: 2\r\n\r\n{}") },
+            "a blank in a name" to { send("HTTP/1.1 201 X\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n{}") },
+            "a blank after a name" to { send("HTTP/1.1 201 X\r\nContent-Length : 1\r\n\r\n{}") },
+            "a control byte in a name" to { send("HTTP/1.1 201 X\r\nX\u0001: 1\r\nContent-Length: 2\r\n\r\n{}") },
+            "a blank in a name of an interim answer" to {
+                send("HTTP/1.1 103 X\r\nX Y: 1\r\n\r\nHTTP/1.1 201 X\r\nContent-Length: 2\r\n\r\n{}")
+            },
+            "a blank in a name in trailers" to {
+                send("HTTP/1.1 201 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Y: 1\r\n\r\n")
+            },
             "silent" to { },
             "silent within the body" to { send("HTTP/1.1 201 X\r\nContent-Length: 9\r\n\r\n{") },
         ).map { (name, respond) ->
--- a/apricotslip-cli/src/main/kotlin/io/apricotslip/cli/node/NodeClient.kt
+++ b/apricotslip-cli/src/main/kotlin/io/apricotslip/cli/node/NodeClient.kt
@@ -1,11 +1,13 @@
 package io.apricotslip.cli.node
 
+import io.apricotslip.http.StrictClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
+import reactor.netty.NettyPipeline
 import reactor.netty.http.client.HttpClient
 import java.net.InetSocketAddress
 import java.time.Duration
@@ -20,13 +22,9 @@
 internal class NodeClient(private val key: String?, private val timeout: Duration) {
     /** Ignores unknown keys, because newer nodes may send fields that this client does not know. */
     private val json = Json { ignoreUnknownKeys = true }
-    private val http = HttpClient.newConnection().headers {
-        if (key !=
-            null
-        ) {
-            it.set(HttpHeaderNames.AUTHORIZATION, "Bearer $key")
-        }
-    }
+    private val http = HttpClient.newConnection()
+        .doOnChannelInit { _, channel, _ -> StrictClientCodec.install(channel.pipeline(), NettyPipeline.HttpCodec) }
+        .headers { if (key != null) it.set(HttpHeaderNames.AUTHORIZATION, "Bearer $key") }
 
     /** Calls all [nodes] concurrently and blocks; the replies are in the order of [nodes]. Failures become replies. */
     fun <T> call(nodes: List<NodeAddress>, call: OperatorCall<T>): List<NodeReply<T>> =
--- a/apricotslip-cli/src/test/kotlin/io/apricotslip/cli/NodesCommandTest.kt
+++ b/apricotslip-cli/src/test/kotlin/io/apricotslip/cli/NodesCommandTest.kt
@@ -10,10 +10,14 @@
 import org.junit.jupiter.api.io.TempDir
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+import reactor.core.publisher.Mono
+import reactor.netty.tcp.TcpServer
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -60,6 +64,18 @@
             expectThat(result.code).isEqualTo(code)
         }
 
+        @ParameterizedTest
+        @ValueSource(strings = ["0200 OK\r\n", "200 OK\r\nX Y: 1\r\n"])
+        fun `an answer with a broken head is a failure`(head: String) {
+            val answer = "HTTP/1.1 ${head}Content-Length: 2\r\n\r\n[]"
+            val raw = TcpServer.create().host("127.0.0.1").port(0)
+                .handle { input, out -> input.receive().take(1).thenMany(out.sendString(Mono.just(answer))) }
+                .bindNow()
+            val result = runCli("running", "--node", "127.0.0.1:${raw.port()}")
+            raw.disposeNow()
+            expectThat(result.code).isNotEqualTo(ExitCode.OK)
+        }
+
         @ParameterizedTest
         @CsvSource("'',OK", "'\"lease lost\"',FAULT")
         fun `status succeeds only when the node is ready`(notReady: String, code: ExitCode) {
--- a/apricotslip-platform/src/main/kotlin/io/apricotslip/platform/HttpPlatformClient.kt
+++ b/apricotslip-platform/src/main/kotlin/io/apricotslip/platform/HttpPlatformClient.kt
@@ -1,10 +1,12 @@
 package io.apricotslip.platform
 
 import io.apricotslip.api.fleet.VmList
+import io.apricotslip.http.StrictClientCodec
 import io.netty.channel.ChannelOption
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
 import reactor.netty.ByteBufFlux
+import reactor.netty.NettyPipeline
 import reactor.netty.http.client.HttpClient
 import reactor.netty.http.client.HttpClientResponse
 import reactor.netty.resources.ConnectionProvider
@@ -32,6 +34,7 @@
         .keepAlive(false)
         .followRedirect(false)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, options.timeoutMillis.toInt())
+        .doOnChannelInit { _, channel, _ -> StrictClientCodec.install(channel.pipeline(), NettyPipeline.HttpCodec) }
 
     /** Number of calls made to the platform; each poll of a watch counts as one call. */
     public val calls: Long get() = callCounter.sum()
--- a/apricotslip-platform/src/test/kotlin/io/apricotslip/platform/HttpPlatformClientTest.kt
+++ b/apricotslip-platform/src/test/kotlin/io/apricotslip/platform/HttpPlatformClientTest.kt
@@ -11,6 +11,7 @@
 import reactor.netty.http.server.HttpServer
 import reactor.netty.http.server.HttpServerResponse
 import reactor.netty.http.server.HttpServerRoutes
+import reactor.netty.tcp.TcpServer
 import strikt.api.expectCatching
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -90,6 +91,23 @@
             }
         }
 
+    @TestFactory
+    fun `a read fails when the head of its answer is broken`() = listOf(
+        "status 0200" to "HTTP/1.1 0200 OK\r\nX-Revision: 7\r\nContent-Length: 4\r\n\r\ntext",
+        "a blank in a name" to "HTTP/1.1 200 OK\r\nX-Revision x: 7\r\nContent-Length: 4\r\n\r\ntext",
+        "a blank after a name" to "HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length : 2\r\n\r\ntext",
+    ).map { (name, answer) ->
+        DynamicTest.dynamicTest(name) {
+            val raw = TcpServer.create().host("127.0.0.1").port(0)
+                .handle { input, out -> input.receive().take(1).thenMany(out.sendString(Mono.just(answer))) }
+                .bindNow()
+            val endpoint = PlatformEndpoint("127.0.0.1", raw.port())
+            val client = HttpPlatformClient(endpoint, endpoint, longTimeout)
+            expectCatching { client.read("manifest").block() }.isFailure().isA<PlatformException>()
+            raw.disposeNow()
+        }
+    }
+
     @Test
     fun `a watch continues on a new connection when a connection goes silent`() {
         val calls = AtomicInteger()
