--- a/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/service/HttpServiceClientTest.kt
+++ b/apricotslip-backends/src/test/kotlin/io/apricotslip/backends/service/HttpServiceClientTest.kt
@@ -60,6 +60,7 @@
     fun `a sound answer with an unusual head completes the call`() = listOf(
         "no reason" to "HTTP/1.1 201\r\nContent-Length: 2\r\n\r\n{}",
         "blanks around a value" to "HTTP/1.1 201 X\r\nX: \t1 \r\ncONTENT-lENGTH:2\r\n\r\n{}",
+        "an interim answer" to "HTTP/1.1 103 X\r\nX: 1\r\n\r\nHTTP/1.1 201 X\r\nContent-Length: 2\r\n\r\n{}",
         "trailers" to "HTTP/1.1 201 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX: 1\r\n\r\n",
     ).map { (name, answer) ->
         DynamicTest.dynamicTest(name) {
@@ -93,6 +94,7 @@
             "a blank in a name of an interim answer" to {
                 send("HTTP/1.1 103 X\r\nX Y: 1\r\n\r\nHTTP/1.1 201 X\r\nContent-Length: 2\r\n\r\n{}")
             },
+            "another protocol" to { send("HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n").also { close() } },
             "a blank in a name in trailers" to {
                 send("HTTP/1.1 201 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Y: 1\r\n\r\n")
             },
