--- a/apricotslip-core/src/test/kotlin/io/apricotslip/core/http/CallerPortTest.kt
+++ b/apricotslip-core/src/test/kotlin/io/apricotslip/core/http/CallerPortTest.kt
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
@@ -161,6 +162,16 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = ["X Y: 1", "X\tY: 1", "X\u0001: 1", "Content-Length : 3", "several words"])
+    fun `a header whose name is no token is refused`(line: String) {
+        Socket(LOOPBACK, ports.callers).use { socket ->
+            socket.getOutputStream().write("POST /v1/completions HTTP/1.1\r\nHost: h\r\n$line\r\n\r\n".toByteArray())
+            expectThat(socket.getInputStream().bufferedReader().readLine()).contains("400")
+        }
+        expectHealthy()
+    }
+
     @Nested
     inner class `given no manifest` {
         @Test
