--- a/apricotslip-http/src/main/kotlin/io/apricotslip/http/ResponseHeadGrammar.kt
+++ b/apricotslip-http/src/main/kotlin/io/apricotslip/http/ResponseHeadGrammar.kt
@@ -3,8 +3,9 @@
 /**
  * What RFC 9110 and RFC 9112 allow in the head of a response. Each check throws [MalformedHeadException].
  *
- * Netty checks the values of fields. Two leniencies of RFC 9112 are kept: blanks and tabs, however many, may separate
- * the words of a status line, and a value may be folded. A status line may lack the blank after its status.
+ * Netty checks the values of fields. Two leniencies of RFC 9112 are kept: blanks and tabs, however many, may stand
+ * before a status line and between its words, and a value may be folded. A status line may lack the blank after its
+ * status.
  */
 internal object ResponseHeadGrammar {
     private const val NOT_ASCII = 0x80
