--- a/apricotslip-core/src/test/kotlin/io/apricotslip/core/http/CallerPortTest.kt
+++ b/apricotslip-core/src/test/kotlin/io/apricotslip/core/http/CallerPortTest.kt
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
@@ -36,6 +37,7 @@
  * that takes the node down, runs work, or is refused without a usable error.
  */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class CallerPortTest {
     private val client = HttpClient.newHttpClient()
     private val unreachable = PlatformAddress(LOOPBACK, 1)
