--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -109,6 +109,10 @@
             }
         }
 
+        Set<Socket> openConnections() {
+            return Set.copyOf(open);
+        }
+
         /** Ends as a process that is killed: the port refuses, all connections are reset. */
         void crash() {
             try {
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -26,6 +26,7 @@
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Item> changes = new ArrayList<>();
     private long revision = 1;
+    private final java.util.Set<Socket> silent = java.util.concurrent.ConcurrentHashMap.newKeySet();
     final Http.Server server;
 
     Store(String host) throws IOException {
@@ -47,6 +48,11 @@
         return revision;
     }
 
+    /** Lets all channels that are open go silent for good, without a reset; new ones work. */
+    void silenceOpenChannels() {
+        silent.addAll(server.openConnections());
+    }
+
     private boolean handle(Http.Message request, Socket connection, OutputStream out) throws IOException {
         Map<String, String> query = new HashMap<>();
         String uri = request.uri();
@@ -62,6 +68,7 @@
             default -> null;
         };
         Clock.sleep(ANSWER_MILLIS);
+        if (silent.contains(connection)) Clock.sleep(200_000);
         if (body == null) Http.write(out, "HTTP/1.1 404 Not Found\r\n", "");
         else Http.write(out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: 1\r\n", body);
         return true;
