--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -36,12 +36,19 @@
     private volatile long born;
     private volatile boolean running = true;
     private int sequence;
+    private String registered;
     private long highestFence;
     private final Set<String> adapters = new LinkedHashSet<>();
     private final Set<String> incoming = new LinkedHashSet<>();
+
+    /** The adapter whose unload waits for its runs; the replica carries out no other order meanwhile. */
+    private String unloading;
     private final Map<String, Integer> users = new LinkedHashMap<>();
     final AtomicInteger active = new AtomicInteger();
 
+    /** Times that it was ordered to hold more adapters than it has places. */
+    final AtomicInteger overfilled = new AtomicInteger();
+
     /** An order that arrived: its holder, its generation number and how it was answered. */
     record Order(long at, String holder, long fence, int status, String what) {}
 
@@ -87,24 +94,25 @@
             highestFence = 0;
             adapters.clear();
             incoming.clear();
+            unloading = null;
             users.clear();
         }
         server.startAgain();
         running = true;
-        long revision = register();
-        record.line("replica " + id + " is back with software " + version + ", born " + born
-            + "; the store holds its entry as revision " + revision);
-    }
-
-    private long register() {
-        return store.put("servers/" + id, entry());
+        register();
+        record.line("replica " + id + " is back with software " + version + ", born " + born);
     }
 
-    private synchronized String entry() {
-        return """
-            {"service":"%s","address":"%s:%d","zone":"%s","version":"%s","slots":%d,"state":"ready","coldRemainingMs":0,
-            "sequence":%d,"born":%d,"models":%s,"stage":"both"}""".formatted(
-            service, server.host, server.port, zone, software, slots, ++sequence, born, models());
+    /** Writes the entry, which changes in the store when more than its sequence changes. */
+    private synchronized void register() {
+        sequence++;
+        String rest = """
+            "service":"%s","address":"%s:%d","zone":"%s","version":"%s","slots":%d,"state":"ready","coldRemainingMs":0,
+            "born":%d,"models":%s,"stage":"both\"""".formatted(
+            service, server.host, server.port, zone, software, slots, born, models());
+        if (rest.equals(registered)) return;
+        registered = rest;
+        store.put("servers/" + id, "{\"sequence\":" + sequence + "," + rest + "}");
     }
 
     private synchronized String models() {
@@ -155,15 +163,21 @@
     private String carryOut(String body) {
         long fence = Long.parseLong(field(body, "fencingToken"));
         if (fence < highestFence) return "HTTP/1.1 412 Precondition Failed\r\n";
-        highestFence = fence;
         String adapter = field(body, "adapter");
+        boolean repeated = adapter != null && adapter.equals(unloading) && field(body, "operation").equals("unload");
+        if (repeated) return "HTTP/1.1 202 Accepted\r\n";
+        if (unloading != null) return "HTTP/1.1 409 Conflict\r\n";
+        highestFence = fence;
         if (adapter == null || adapter.equals("null")) return "HTTP/1.1 200 OK\r\n";
         if (field(body, "operation").equals("load")) {
             if (adapters.contains(adapter)) return "HTTP/1.1 200 OK\r\n";
             if (!incoming.contains(adapter)) {
                 incoming.add(adapter);
                 long life = born;
-                if (adapters.size() + incoming.size() > adapterSlots) record.line("replica " + id + " is ordered too much");
+                if (adapters.size() + incoming.size() > adapterSlots) {
+                    overfilled.incrementAndGet();
+                    record.line("replica " + id + " is ordered too much: " + adapters + " and " + incoming);
+                }
                 Http.daemon(() -> {
                     Clock.sleep(LOAD_MILLIS);
                     synchronized (this) {
@@ -174,7 +188,10 @@
             return "HTTP/1.1 202 Accepted\r\n";
         }
         if (!adapters.contains(adapter)) return "HTTP/1.1 200 OK\r\n";
-        if (users.getOrDefault(adapter, 0) > 0) return "HTTP/1.1 409 Conflict\r\n";
+        if (users.getOrDefault(adapter, 0) > 0) {
+            unloading = adapter;
+            return "HTTP/1.1 202 Accepted\r\n";
+        }
         adapters.remove(adapter);
         return "HTTP/1.1 200 OK\r\n";
     }
@@ -195,7 +212,7 @@
         synchronized (this) {
             version = software;
             life = born;
-            boolean holds = adapter == null || adapters.contains(adapter);
+            boolean holds = adapter == null || (adapters.contains(adapter) && !adapter.equals(unloading));
             String refusal = !holds ? "421 Misdirected Request" : active.get() >= slots ? "503 Service Unavailable" : null;
             if (refusal != null) {
                 Http.write(out, "HTTP/1.1 " + refusal + "\r\nX-Apricotslip-Not-Executed: 1\r\n" + head, "");
@@ -221,7 +238,13 @@
         } finally {
             active.decrementAndGet();
             synchronized (this) {
-                if (adapter != null && born == life) users.merge(adapter, -1, Integer::sum);
+                if (adapter != null && born == life) {
+                    users.merge(adapter, -1, Integer::sum);
+                    if (adapter.equals(unloading) && users.get(adapter) == 0) {
+                        adapters.remove(adapter);
+                        unloading = null;
+                    }
+                }
             }
         }
     }
