--- a/review/standins-2/SoleSurvivorCase.java
+++ b/review/standins-2/SoleSurvivorCase.java
@@ -21,7 +21,10 @@
     private static final int ADAPTERS = 150;
     private static final long EVENT_MILLIS = 60;
     private static final int PER_SECOND = 20;
-    private static final long CALM_MILLIS = 45_000;
+
+    /** Nodes claim replicas, with an order to each, within a few seconds of their start. */
+    private static final long SETTLED_MILLIS = 6_000;
+    private static final long CALM_MILLIS = 40_000;
     private static final long WATCH_MILLIS = 12_000;
 
     public static void main(String[] args) throws Exception {
@@ -53,6 +56,7 @@
         Nodes nodes = new Nodes(logs, network, store.address(), ZONES);
         nodes.startAll();
         record.say("nodes are ready");
+        Clock.sleep(SETTLED_MILLIS);
         List<Nodes.Node> live = new CopyOnWriteArrayList<>(nodes.all);
         Streams client = new Streams(nodes, live, record, HOST, PREFIX + "2f");
         List<Streams.Stream> streams = Collections.synchronizedList(new ArrayList<>());
@@ -76,7 +80,7 @@
         traffic.start();
         Clock.sleepUntil(begin + CALM_MILLIS);
         long lostAt = Clock.millis();
-        Nodes.Node left = withoutOrders(live, engines);
+        Nodes.Node left = withoutOrders(live, engines, begin - SETTLED_MILLIS);
         if (trouble) {
             live.removeIf(node -> node != left);
             List<Thread> kills = new ArrayList<>();
@@ -103,12 +107,12 @@
         return takenUp < 12 || (double) wentOn / takenUp >= 0.5 * begun / fresh;
     }
 
-    /** A machine of a zone with several that has given no order in the last 15 s. */
-    private static Nodes.Node withoutOrders(List<Nodes.Node> live, List<Engine> engines) {
+    /** A machine that has given no order since all were ready for a moment. */
+    private static Nodes.Node withoutOrders(List<Nodes.Node> live, List<Engine> engines, long from) {
         Set<String> holders = new HashSet<>();
         for (Engine engine : engines) {
             synchronized (engine) {
-                for (Engine.Order order : engine.orders) if (order.at() > Clock.millis() - 15_000) holders.add(order.holder());
+                for (Engine.Order order : engine.orders) if (order.at() >= from) holders.add(order.holder());
             }
         }
         for (Nodes.Node node : live) if (!holders.contains(node.ip)) return node;
